Add the design page, the build, packet codecs and fiber I/O

Cause: the project needs its design written down and a base that every module builds on. Base types (errors, results, ids, addresses), GUE and inner packet codecs, a fiber reactor on epoll, UDP and TCP sockets, the formatter, the linter and the scripts. Conclusion: modules can be built side by side on this base.

--- /dev/null
+++ b/include/fighatch/ids.h
@@ -0,0 +1,62 @@
+#ifndef FIGHATCH_IDS_H_
+#define FIGHATCH_IDS_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace fighatch {
+
+/// An integer id that does not mix with ids of another kind. `Tag` is never defined.
+template <typename Tag, typename Rep>
+struct StrongId {
+  using Representation = Rep;
+
+  Rep m_value = 0;
+
+  friend constexpr auto operator<=>(const StrongId&, const StrongId&) = default;
+
+  /// Serialises the id as its number.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_value);
+  }
+};
+
+/// A daemon of ours: unique over all data centres, from its settings.
+using HostId = StrongId<struct HostIdTag, std::uint32_t>;
+/// A data centre, numbered by the state document.
+using DataCentreId = StrongId<struct DataCentreIdTag, std::uint16_t>;
+/// A service, numbered by the state document; a number is not used again.
+using ServiceId = StrongId<struct ServiceIdTag, std::uint32_t>;
+/// A target: a hash of its service and address, so that every host derives the same id without coordination.
+using TargetId = StrongId<struct TargetIdTag, std::uint64_t>;
+/// The start count of a process or target; a higher one is a later start.
+using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
+/// The number of a ticket, chosen by operators.
+using TicketNumber = StrongId<struct TicketNumberTag, std::uint64_t>;
+
+/// The version of a piece of state: compared by epoch (the term of its writer), then by generation.
+struct Version {
+  std::uint64_t m_epoch = 0;
+  std::uint64_t m_generation = 0;
+
+  friend constexpr auto operator<=>(const Version&, const Version&) = default;
+
+  /// Serialises both numbers.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_epoch, m_generation);
+  }
+};
+
+}  // namespace fighatch
+
+/// Hashes a strong id by its number.
+template <typename Tag, typename Rep>
+struct std::hash<fighatch::StrongId<Tag, Rep>> {
+  std::size_t operator()(const fighatch::StrongId<Tag, Rep>& id) const noexcept { return std::hash<Rep>()(id.m_value); }
+};
+
+#endif  // FIGHATCH_IDS_H_
--- /dev/null
+++ b/src/io/reactor.cc
@@ -0,0 +1,185 @@
+#include "io/reactor.h"
+
+#include <glog/logging.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/fiber/algo/round_robin.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <cerrno>
+#include <cstdint>
+
+namespace fighatch::io {
+namespace {
+
+// Fibers switched to before descriptors are polled again, so that busy fibers do not starve those that wait for I/O.
+constexpr int kSwitchesBetweenPolls = 32;
+constexpr std::size_t kEventsPerPoll = 64;
+constexpr std::chrono::milliseconds kLongestPoll{1000};
+
+struct Waiter {
+  boost::fibers::context* m_context = nullptr;
+  bool m_ready = false;
+};
+
+// The epoll instance of one thread.
+class Poller {
+ public:
+  Poller() : m_epoll_fd(epoll_create1(EPOLL_CLOEXEC)), m_wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    PCHECK(m_epoll_fd >= 0);
+    PCHECK(m_wake_fd >= 0);
+    epoll_event event{};
+    event.events = EPOLLIN;
+    PCHECK(epoll_ctl(m_epoll_fd, EPOLL_CTL_ADD, m_wake_fd, &event) == 0);
+  }
+
+  ~Poller() {
+    close(m_wake_fd);
+    close(m_epoll_fd);
+  }
+
+  Poller(const Poller&) = delete;
+  Poller& operator=(const Poller&) = delete;
+
+  bool Wait(int fd, std::uint32_t events, Deadline deadline) {
+    Waiter waiter{boost::fibers::context::active()};
+    epoll_event event{};
+    event.events = events | EPOLLONESHOT;
+    event.data.ptr = &waiter;
+    if (epoll_ctl(m_epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0) {
+      PCHECK(errno == EEXIST) << "epoll_ctl fd=" << fd;
+      // Another fiber waits on the same description; a duplicate has a registration of its own.
+      const int duplicate = dup(fd);
+      PCHECK(duplicate >= 0);
+      const bool ready = Wait(duplicate, events, deadline);
+      close(duplicate);
+      return ready;
+    }
+    if (deadline == kNoDeadline) {
+      while (!waiter.m_ready) boost::fibers::context::active()->suspend();
+    } else {
+      while (!waiter.m_ready && std::chrono::steady_clock::now() < deadline) {
+        boost::fibers::context::active()->wait_until(deadline);
+      }
+    }
+    epoll_ctl(m_epoll_fd, EPOLL_CTL_DEL, fd, nullptr);
+    return waiter.m_ready;
+  }
+
+  void Poll(int timeout_ms) {
+    std::array<epoll_event, kEventsPerPoll> events;
+    const int count = epoll_wait(m_epoll_fd, events.data(), events.size(), timeout_ms);
+    for (int index = 0; index < count; ++index) {
+      if (events[index].data.ptr == nullptr) {
+        std::uint64_t wakes = 0;
+        [[maybe_unused]] const ssize_t bytes = read(m_wake_fd, &wakes, sizeof(wakes));
+        continue;
+      }
+      auto* waiter = static_cast<Waiter*>(events[index].data.ptr);
+      waiter->m_ready = true;
+      boost::fibers::context::active()->schedule(waiter->m_context);
+    }
+  }
+
+  void Wake() noexcept {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t bytes = write(m_wake_fd, &one, sizeof(one));
+  }
+
+ private:
+  int m_epoll_fd;
+  int m_wake_fd;
+};
+
+thread_local Poller* g_poller = nullptr;
+
+// Round robin that polls descriptors when no fiber is ready, and from a fiber of its own when there always is one.
+class ReactorScheduler : public boost::fibers::algo::round_robin {
+ public:
+  explicit ReactorScheduler(Poller* poller, boost::fibers::context** poll_fiber)
+      : m_poller(poller), m_poll_fiber(poll_fiber) {}
+
+  boost::fibers::context* pick_next() noexcept override {
+    if (++m_switches >= kSwitchesBetweenPolls && *m_poll_fiber != nullptr) {
+      m_switches = 0;
+      boost::fibers::context* fiber = *m_poll_fiber;
+      *m_poll_fiber = nullptr;
+      awakened(fiber);
+    }
+    return round_robin::pick_next();
+  }
+
+  void suspend_until(const std::chrono::steady_clock::time_point& until) noexcept override {
+    m_switches = 0;
+    const auto now = std::chrono::steady_clock::now();
+    auto wait = kLongestPoll;
+    if (until != std::chrono::steady_clock::time_point::max()) {
+      // Rounded up: a wait of 0 ms before the deadline would spin.
+      wait = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(until - now), std::chrono::milliseconds(0),
+                        kLongestPoll);
+    }
+    m_poller->Poll(static_cast<int>(wait.count()));
+  }
+
+  void notify() noexcept override { m_poller->Wake(); }
+
+ private:
+  Poller* m_poller;
+  boost::fibers::context** m_poll_fiber;
+  int m_switches = 0;
+};
+
+}  // namespace
+
+class Reactor::Impl {
+ public:
+  Impl() {
+    CHECK(g_poller == nullptr) << "one reactor for each thread";
+    g_poller = &m_poller;
+    boost::fibers::use_scheduling_algorithm<ReactorScheduler>(&m_poller, &m_parked);
+    m_poll_fiber = boost::fibers::fiber([this] { PollWhenBusy(); });
+    boost::this_fiber::yield();
+  }
+
+  ~Impl() {
+    m_stop = true;
+    if (boost::fibers::context* fiber = m_parked; fiber != nullptr) {
+      m_parked = nullptr;
+      boost::fibers::context::active()->schedule(fiber);
+    }
+    m_poll_fiber.join();
+    boost::fibers::use_scheduling_algorithm<boost::fibers::algo::round_robin>();
+    g_poller = nullptr;
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+ private:
+  void PollWhenBusy() {
+    while (!m_stop) {
+      m_parked = boost::fibers::context::active();
+      boost::fibers::context::active()->suspend();
+      if (!m_stop) m_poller.Poll(0);
+    }
+  }
+
+  Poller m_poller;
+  boost::fibers::context* m_parked = nullptr;
+  boost::fibers::fiber m_poll_fiber;
+  bool m_stop = false;
+};
+
+Reactor::Reactor() : m_impl(std::make_unique<Impl>()) {}
+Reactor::~Reactor() = default;
+
+bool Reactor::WaitReadable(int fd, Deadline deadline) { return g_poller->Wait(fd, EPOLLIN | EPOLLRDHUP, deadline); }
+
+bool Reactor::WaitWritable(int fd, Deadline deadline) { return g_poller->Wait(fd, EPOLLOUT, deadline); }
+
+}  // namespace fighatch::io
--- /dev/null
+++ b/src/io/reactor.h
@@ -0,0 +1,42 @@
+#ifndef FIGHATCH_IO_REACTOR_H_
+#define FIGHATCH_IO_REACTOR_H_
+
+#include <chrono>
+#include <memory>
+
+namespace fighatch::io {
+
+/// A deadline on the clock that fibers sleep on.
+using Deadline = std::chrono::steady_clock::time_point;
+
+/// A deadline that never passes.
+inline constexpr Deadline kNoDeadline = Deadline::max();
+
+/// Lets the fibers of one thread wait for file descriptors. Construct one in each thread that runs fibers with I/O,
+/// before the thread's first fiber, and keep it alive until the last one has ended.
+///
+/// \code
+/// Reactor reactor;
+/// boost::fibers::fiber([&] { if (Reactor::WaitReadable(fd, kNoDeadline)) Read(fd); }).join();
+/// \endcode
+class Reactor {
+ public:
+  Reactor();
+  ~Reactor();
+  Reactor(const Reactor&) = delete;
+  Reactor& operator=(const Reactor&) = delete;
+
+  /// Suspends the calling fiber until `fd` is readable (or in error) or the deadline passes; false at the deadline.
+  [[nodiscard]] static bool WaitReadable(int fd, Deadline deadline);
+
+  /// Suspends the calling fiber until `fd` is writable (or in error) or the deadline passes; false at the deadline.
+  [[nodiscard]] static bool WaitWritable(int fd, Deadline deadline);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace fighatch::io
+
+#endif  // FIGHATCH_IO_REACTOR_H_
--- /dev/null
+++ b/src/io/tcp_stream.h
@@ -0,0 +1,69 @@
+#ifndef FIGHATCH_IO_TCP_STREAM_H_
+#define FIGHATCH_IO_TCP_STREAM_H_
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "fighatch/address.h"
+#include "fighatch/result.h"
+#include "io/file_descriptor.h"
+#include "io/reactor.h"
+
+namespace fighatch::io {
+
+/// A connected, non-blocking TCP stream. A fiber that calls it is suspended, the thread is not.
+class TcpStream {
+ public:
+  TcpStream() = default;
+  explicit TcpStream(FileDescriptor fd) noexcept : m_fd(std::move(fd)) {}
+
+  /// Connects to `remote`. Errors: `kIoSocket`, `kIoRefused`, `kIoTimeout`.
+  [[nodiscard]] static Result<TcpStream> Connect(const Endpoint& remote, Deadline deadline);
+
+  [[nodiscard]] bool IsOpen() const noexcept { return m_fd.IsOpen(); }
+  [[nodiscard]] int Fd() const noexcept { return m_fd.Get(); }
+  void Close() noexcept { m_fd.Close(); }
+
+  /// Reads what is there, at least one byte; 0 means that the peer closed. Errors: `kIoSocket`, `kIoTimeout`.
+  [[nodiscard]] Result<std::size_t> ReadSome(std::span<std::byte> buffer, Deadline deadline);
+
+  /// Fills the buffer. Errors: `kIoSocket`, `kIoTimeout`, `kIoClosed`.
+  [[nodiscard]] Status ReadAll(std::span<std::byte> buffer, Deadline deadline);
+
+  /// Writes all bytes. Errors: `kIoSocket`, `kIoTimeout`, `kIoClosed`.
+  [[nodiscard]] Status WriteAll(std::span<const std::byte> bytes, Deadline deadline);
+
+  /// Reads a frame: a 32-bit length in network byte order and the bytes. Errors: those of `ReadAll`,
+  /// `kMessageOversized` if the length exceeds `limit_bytes`.
+  [[nodiscard]] Result<std::vector<std::byte>> ReadFrame(std::size_t limit_bytes, Deadline deadline);
+
+  /// Writes a frame that `ReadFrame` takes.
+  [[nodiscard]] Status WriteFrame(std::span<const std::byte> bytes, Deadline deadline);
+
+ private:
+  FileDescriptor m_fd;
+};
+
+/// A listening TCP socket.
+class TcpListener {
+ public:
+  /// Listens on `local` (port 0 lets the kernel choose). Errors: `kIoSocket`.
+  [[nodiscard]] static Result<TcpListener> Listen(const Endpoint& local);
+
+  [[nodiscard]] const Endpoint& Local() const noexcept { return m_local; }
+
+  /// Waits for a connection. Errors: `kIoTimeout` at the deadline, `kIoSocket`.
+  [[nodiscard]] Result<TcpStream> Accept(Deadline deadline);
+
+ private:
+  TcpListener(FileDescriptor fd, const Endpoint& local) noexcept : m_fd(std::move(fd)), m_local(local) {}
+
+  FileDescriptor m_fd;
+  Endpoint m_local;
+};
+
+}  // namespace fighatch::io
+
+#endif  // FIGHATCH_IO_TCP_STREAM_H_
