--- /dev/null
+++ b/include/fighatch/http_message.h
@@ -0,0 +1,92 @@
+#ifndef FIGHATCH_HTTP_MESSAGE_H_
+#define FIGHATCH_HTTP_MESSAGE_H_
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fighatch/result.h"
+
+namespace fighatch {
+
+/// One header field of an HTTP message.
+struct HttpHeader {
+  std::string m_name;
+  std::string m_value;
+
+  friend bool operator==(const HttpHeader&, const HttpHeader&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_name, m_value);
+  }
+};
+
+/// Header fields in the order in which they stand in the message.
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// The value of the first field of this name (case does not matter).
+[[nodiscard]] std::optional<std::string_view> FindHeader(const HttpHeaders& headers, std::string_view name) noexcept;
+
+/// Replaces all fields of this name by one.
+void SetHeader(HttpHeaders* headers, std::string_view name, std::string value);
+
+/// An HTTP/1.1 request. `Content-Length` is written from the body.
+struct HttpRequest {
+  std::string m_method = "GET";
+  std::string m_path = "/";
+  HttpHeaders m_headers;
+  std::string m_body;
+
+  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_method, m_path, m_headers, m_body);
+  }
+};
+
+/// An HTTP/1.1 response. `Content-Length` is written from the body.
+struct HttpResponse {
+  int m_status = 200;
+  HttpHeaders m_headers;
+  std::string m_body;
+
+  friend bool operator==(const HttpResponse&, const HttpResponse&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_status, m_headers, m_body);
+  }
+};
+
+/// A message taken from the front of a byte stream.
+template <typename Message>
+struct HttpParsed {
+  Message m_message;
+  /// Bytes that the message occupies.
+  std::size_t m_consumed_bytes = 0;
+  /// False if the sender closes the connection after the message.
+  bool m_keep_alive = true;
+};
+
+/// Parses a request from the front of the bytes. The value is empty while the message is not complete.
+/// Errors: `kRequestMalformed`, `kRequestTooLarge` if the message exceeds `limit_bytes`.
+[[nodiscard]] Result<std::optional<HttpParsed<HttpRequest>>> ParseHttpRequest(std::span<const std::byte> bytes,
+                                                                              std::size_t limit_bytes);
+
+/// \copydoc ParseHttpRequest
+[[nodiscard]] Result<std::optional<HttpParsed<HttpResponse>>> ParseHttpResponse(std::span<const std::byte> bytes,
+                                                                                std::size_t limit_bytes);
+
+/// The text form with `Content-Length`.
+[[nodiscard]] std::string ToString(const HttpRequest& request);
+/// \copydoc ToString(const HttpRequest&)
+[[nodiscard]] std::string ToString(const HttpResponse& response);
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/config/json_reader.h
@@ -0,0 +1,93 @@
+#ifndef FIGHATCH_CONFIG_JSON_READER_H_
+#define FIGHATCH_CONFIG_JSON_READER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fighatch/address.h"
+#include "fighatch/result.h"
+
+namespace fighatch::config {
+
+/// Parses JSON with comments. Errors: `kSettingsSyntax`, `kSettingsDuplicateKey` with the path of the key.
+[[nodiscard]] Result<nlohmann::json> ParseJson(std::string_view text);
+
+/// Reads the fields of one JSON object into an aggregate and remembers the first error. Every field of the object must
+/// be read or `Finish` reports it as unknown.
+///
+/// \code
+/// ObjectReader reader(json, "");
+/// reader.Unsigned("port", 1, 65535, &settings.m_port);
+/// reader.Text("name", &settings.m_name);
+/// Status status = reader.Finish();
+/// \endcode
+///
+/// Each `Optional` call leaves the value as it is where the field is absent; the others report `kSettingsMissingField`.
+/// Errors carry the path of the field, for example `services[2].addresses[0]`.
+class ObjectReader {
+ public:
+  ObjectReader(const nlohmann::json& object, std::string path);
+
+  void Text(std::string_view field, std::string* out);
+  void OptionalText(std::string_view field, std::string* out);
+  void OptionalBool(std::string_view field, bool* out);
+  void OptionalTextList(std::string_view field, std::vector<std::string>* out);
+  void OptionalNumber(std::string_view field, double lowest, double highest, double* out);
+  /// The number of milliseconds in the field, between the bounds.
+  void OptionalMilliseconds(std::string_view field, std::chrono::milliseconds lowest, std::chrono::milliseconds highest,
+                            std::chrono::milliseconds* out);
+  void EndpointField(std::string_view field, Endpoint* out);
+  void OptionalEndpoint(std::string_view field, Endpoint* out);
+  void OptionalEndpointList(std::string_view field, std::vector<Endpoint>* out);
+
+  template <typename T>
+  void Unsigned(std::string_view field, std::uint64_t lowest, std::uint64_t highest, T* out) {
+    if (const nlohmann::json* value = Take(field, true))
+      *out = static_cast<T>(ReadUnsigned(*value, field, lowest, highest));
+  }
+  template <typename T>
+  void OptionalUnsigned(std::string_view field, std::uint64_t lowest, std::uint64_t highest, T* out) {
+    if (const nlohmann::json* value = Take(field, false))
+      *out = static_cast<T>(ReadUnsigned(*value, field, lowest, highest));
+  }
+
+  /// Calls `read` for each object of an array with a reader for it; absent counts as empty.
+  void OptionalObjects(std::string_view field, const std::function<void(ObjectReader&)>& read);
+  /// Calls `read` for the object in the field, if there is one.
+  void OptionalObject(std::string_view field, const std::function<void(ObjectReader&)>& read);
+
+  /// Reports an error at a field; only the first one is kept.
+  void Fail(ErrorCode code, std::string_view field, std::string_view what);
+
+  /// The first error, or `kSettingsUnknownField` for a field that was not read.
+  [[nodiscard]] Status Finish();
+
+  /// The path of a field of this object.
+  [[nodiscard]] std::string PathOf(std::string_view field) const;
+
+ private:
+  [[nodiscard]] const nlohmann::json* Take(std::string_view field, bool required);
+  [[nodiscard]] std::uint64_t ReadUnsigned(const nlohmann::json& value, std::string_view field, std::uint64_t lowest,
+                                           std::uint64_t highest);
+  void ReadText(const nlohmann::json& value, std::string_view field, std::string* out);
+  void ReadEndpoint(const nlohmann::json& value, std::string_view field, Endpoint* out);
+  void Merge(ObjectReader& child);
+
+  const nlohmann::json& m_object;
+  std::string m_path;
+  std::set<std::string, std::less<>> m_taken;
+  Status m_status = OkStatus();
+};
+
+/// Reads a whole file. Errors: `kSettingsUnreadable`.
+[[nodiscard]] Result<std::string> ReadTextFile(const std::string& path);
+
+}  // namespace fighatch::config
+
+#endif  // FIGHATCH_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/src/io/http_server.cc
@@ -0,0 +1,92 @@
+#include "io/http_server.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <chrono>
+#include <vector>
+
+#include "io/socket_address.h"
+
+namespace fighatch::io {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr std::size_t kMaxMessageBytes = 256 * 1024;
+constexpr std::chrono::seconds kIdleTimeout{30};
+// How soon a stop is noticed by the accept loop and by idle connections.
+constexpr std::chrono::milliseconds kStopCheckInterval{100};
+constexpr int kMaxConnections = 4096;
+
+Endpoint PeerOf(const TcpStream& stream) {
+  SocketAddress address;
+  if (getpeername(stream.Fd(), address.Get(), &address.m_size) != 0) return {};
+  return FromSocketAddress(address);
+}
+
+HttpResponse ErrorResponse(const Error& error) { return {400, {{"Connection", "close"}}, ToString(error) + "\n"}; }
+
+}  // namespace
+
+HttpServer::HttpServer(TcpListener listener, HttpHandler handler)
+    : m_listener(std::move(listener)), m_handler(std::move(handler)) {}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(const Endpoint& local, HttpHandler handler) {
+  Result<TcpListener> listener = TcpListener::Listen(local);
+  if (!IsOk(listener)) return ErrorOf(listener);
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(ValueOf(listener)), std::move(handler)));
+}
+
+void HttpServer::Serve() {
+  while (!m_stopping) {
+    Result<TcpStream> stream = m_listener.Accept(steady_clock::now() + kStopCheckInterval);
+    if (!IsOk(stream)) {
+      if (ErrorOf(stream).m_code != ErrorCode::kIoTimeout) boost::this_fiber::sleep_for(kStopCheckInterval);
+      continue;
+    }
+    if (m_connections >= kMaxConnections) continue;
+    ++m_connections;
+    boost::fibers::fiber([this, accepted = std::move(ValueOf(stream))]() mutable {
+      ServeConnection(std::move(accepted));
+      --m_connections;
+    }).detach();
+  }
+  while (m_connections > 0) boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+}
+
+void HttpServer::ServeConnection(TcpStream stream) {
+  const Endpoint peer = PeerOf(stream);
+  std::vector<std::byte> received;
+  std::array<std::byte, 16384> chunk;
+  auto idle_until = steady_clock::now() + kIdleTimeout;
+  for (;;) {
+    Result<std::optional<HttpParsed<HttpRequest>>> parsed = ParseHttpRequest(received, kMaxMessageBytes);
+    if (!IsOk(parsed)) {
+      const std::string text = ToString(ErrorResponse(ErrorOf(parsed)));
+      (void)stream.WriteAll(std::as_bytes(std::span(text)), steady_clock::now() + kIdleTimeout);
+      return;
+    }
+    if (ValueOf(parsed)) {
+      const HttpParsed<HttpRequest>& request = *ValueOf(parsed);
+      const std::string text = ToString(m_handler(request.m_message, peer));
+      const Status written = stream.WriteAll(std::as_bytes(std::span(text)), steady_clock::now() + kIdleTimeout);
+      if (!IsOk(written) || !request.m_keep_alive) return;
+      received.erase(received.begin(), received.begin() + static_cast<std::ptrdiff_t>(request.m_consumed_bytes));
+      idle_until = steady_clock::now() + kIdleTimeout;
+      continue;
+    }
+    if (m_stopping && received.empty()) return;
+    const Result<std::size_t> count = stream.ReadSome(chunk, steady_clock::now() + kStopCheckInterval);
+    if (!IsOk(count)) {
+      if (ErrorOf(count).m_code != ErrorCode::kIoTimeout || steady_clock::now() > idle_until) return;
+      continue;
+    }
+    if (ValueOf(count) == 0) return;
+    received.insert(received.end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(ValueOf(count)));
+  }
+}
+
+}  // namespace fighatch::io
--- /dev/null
+++ b/src/io/http_server.h
@@ -0,0 +1,43 @@
+#ifndef FIGHATCH_IO_HTTP_SERVER_H_
+#define FIGHATCH_IO_HTTP_SERVER_H_
+
+#include <functional>
+#include <memory>
+
+#include "fighatch/address.h"
+#include "fighatch/http_message.h"
+#include "io/tcp_stream.h"
+
+namespace fighatch::io {
+
+/// Answers one request; runs in a fiber of its connection and may suspend it.
+using HttpHandler = std::function<HttpResponse(const HttpRequest& request, const Endpoint& peer)>;
+
+/// Serves HTTP/1.1 on a listening socket, one fiber for each connection, on the thread that runs `Serve`.
+class HttpServer {
+ public:
+  /// Listens on `local`. Errors: `kIoSocket`.
+  [[nodiscard]] static Result<std::unique_ptr<HttpServer>> Create(const Endpoint& local, HttpHandler handler);
+
+  [[nodiscard]] const Endpoint& Local() const noexcept { return m_listener.Local(); }
+
+  /// Accepts connections until `Stop`; then waits until requests in progress have been answered.
+  void Serve();
+
+  /// Makes `Serve` return; call it on the same thread.
+  void Stop() noexcept { m_stopping = true; }
+
+ private:
+  HttpServer(TcpListener listener, HttpHandler handler);
+
+  void ServeConnection(TcpStream stream);
+
+  TcpListener m_listener;
+  HttpHandler m_handler;
+  bool m_stopping = false;
+  int m_connections = 0;
+};
+
+}  // namespace fighatch::io
+
+#endif  // FIGHATCH_IO_HTTP_SERVER_H_
--- /dev/null
+++ b/src/target/target_state.cc
@@ -0,0 +1,17 @@
+#include <array>
+
+#include "fighatch/table_update.h"
+
+namespace fighatch {
+namespace {
+
+constexpr std::array<std::string_view, 5> kNames = {"starting", "serving", "draining", "stopped", "suspect"};
+
+}  // namespace
+
+std::string_view TargetStateName(TargetState state) noexcept {
+  const auto index = static_cast<std::size_t>(state);
+  return index < kNames.size() ? kNames[index] : "unknown";
+}
+
+}  // namespace fighatch
