Add the fabric and load tool, metrics and trace spans

Cause: the whole path needs a network that sprays packets, callers at a fixed rate, and something to see it by. Change: fighatch-fabric, fighatch-load (open-loop flows and requests, latency from the intended start, SVG timeline), common program frame, Prometheus page, spans in Zipkin v2 form continued from traceparent. Conclusion: the callers' side is ready for a balancer.

--- /dev/null
+++ b/programs/fabric/fabric.h
@@ -0,0 +1,59 @@
+#ifndef FIGHATCH_PROGRAMS_FABRIC_FABRIC_H_
+#define FIGHATCH_PROGRAMS_FABRIC_FABRIC_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fabric_settings.h"
+#include "fighatch/http_message.h"
+#include "fighatch/random.h"
+#include "io/udp_socket.h"
+
+namespace fighatch::fabric {
+
+/// Counters of the fabric.
+struct FabricCounters {
+  std::uint64_t m_to_balancers = 0;
+  std::uint64_t m_to_callers = 0;
+  std::uint64_t m_lost = 0;
+  std::uint64_t m_duplicated = 0;
+  std::uint64_t m_malformed = 0;
+  std::uint64_t m_no_balancer = 0;
+};
+
+/// Stand-in for the network in front of the balancers: hands every packet of a caller to a random balancer, and every
+/// packet that is addressed to a caller to that caller's endpoint.
+class Fabric {
+ public:
+  /// Binds the socket. Errors: `kIoSocket`.
+  [[nodiscard]] static Result<Fabric> Create(const FabricSettings& settings);
+
+  /// Moves one batch of packets; returns at the deadline if there is none.
+  void MoveBatch(io::Deadline deadline);
+
+  /// Answers `GET /metrics`, `GET /v1/health`, and `POST /v1/balancers/ENDPOINT/up` or `/down`, which make the
+  /// fabric use a balancer or leave it out.
+  [[nodiscard]] HttpResponse HandleHttp(const HttpRequest& request);
+
+ private:
+  Fabric(const FabricSettings& settings, io::UdpSocket socket);
+
+  void Route(std::span<const std::byte> datagram);
+  void RouteToBalancer(std::span<const std::byte> datagram);
+  [[nodiscard]] const CallerRoute* FindCaller(const IpAddress& address) const;
+  [[nodiscard]] HttpResponse SetBalancer(const std::string& path);
+  [[nodiscard]] std::string MetricsText() const;
+
+  FabricSettings m_settings;
+  io::UdpSocket m_socket;
+  Random m_random;
+  std::vector<Endpoint> m_up;
+  std::vector<io::OutgoingDatagram> m_batch;
+  FabricCounters m_counters;
+};
+
+}  // namespace fighatch::fabric
+
+#endif  // FIGHATCH_PROGRAMS_FABRIC_FABRIC_H_
--- /dev/null
+++ b/programs/load/flow_callers.h
@@ -0,0 +1,99 @@
+#ifndef FIGHATCH_PROGRAMS_LOAD_FLOW_CALLERS_H_
+#define FIGHATCH_PROGRAMS_LOAD_FLOW_CALLERS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fighatch/inner_packet.h"
+#include "load_settings.h"
+#include "report.h"
+
+namespace fighatch::load {
+
+/// Takes an inner packet that a caller sends.
+using PacketSink = std::function<void(const std::vector<std::byte>& inner)>;
+
+/// Hands out callers' endpoints that were not used before in the run.
+class CallerEndpoints {
+ public:
+  explicit CallerEndpoints(const IpAddress& base) : m_base(base) {}
+
+  [[nodiscard]] Endpoint Next();
+
+ private:
+  IpAddress m_base;
+  std::uint32_t m_count = 0;
+};
+
+/// Callers of one service in flow mode: opens flows at a fixed rate, sends segments on each, checks that all answers of
+/// a flow come from one target of the service, and counts flows that break.
+class FlowCallers {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  FlowCallers(const FlowWorkload& workload, CallerEndpoints* endpoints, PacketSink sink, Time start, Time stop);
+
+  /// Sends what is due; returns the time of the next work.
+  Time Advance(Time now);
+
+  /// Takes an answer; false if it belongs to none of these flows.
+  bool Receive(const InnerPacket& packet, Time now);
+
+  /// True when no flow is open any more.
+  [[nodiscard]] bool IsDone() const noexcept { return m_flows.empty() && m_next_open >= m_stop; }
+  [[nodiscard]] const ServiceReport& Report() const noexcept { return m_report; }
+  /// Counts flows that are still open at the end of the run as broken.
+  void GiveUp(Time now);
+
+ private:
+  enum class State : std::uint8_t { kConnecting, kOpen, kClosing };
+
+  struct Flow {
+    Endpoint m_source;
+    State m_state = State::kConnecting;
+    std::uint32_t m_sequence = 1;
+    std::uint32_t m_acknowledgement = 0;
+    int m_tries = 0;
+    bool m_waits_for_answer = false;
+    std::string m_target;
+    Time m_intended;
+    Time m_sent;
+    Time m_due;
+    Time m_end;
+  };
+
+  struct Due {
+    Time m_time;
+    std::uint64_t m_flow;
+    friend bool operator>(const Due& left, const Due& right) { return left.m_time > right.m_time; }
+  };
+
+  void Open(Time intended);
+  void Work(std::uint64_t id, Flow& flow, Time now);
+  void Send(const Flow& flow);
+  void SendNew(std::uint64_t id, Flow& flow, Time now);
+  void Schedule(std::uint64_t id, Flow& flow, Time due);
+  void ReceiveOpen(std::uint64_t id, Flow& flow, const InnerPacket& packet, Time now);
+  void CheckTarget(Flow& flow, const InnerPacket& packet);
+  void Finish(std::uint64_t id, bool good, Time now);
+
+  FlowWorkload m_workload;
+  CallerEndpoints* m_endpoints;
+  PacketSink m_sink;
+  Time m_start;
+  Time m_stop;
+  Time m_next_open;
+  std::uint64_t m_opened = 0;
+  std::unordered_map<std::uint64_t, Flow> m_flows;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
+  ServiceReport m_report;
+};
+
+}  // namespace fighatch::load
+
+#endif  // FIGHATCH_PROGRAMS_LOAD_FLOW_CALLERS_H_
--- /dev/null
+++ b/programs/load/latency_histogram.h
@@ -0,0 +1,30 @@
+#ifndef FIGHATCH_PROGRAMS_LOAD_LATENCY_HISTOGRAM_H_
+#define FIGHATCH_PROGRAMS_LOAD_LATENCY_HISTOGRAM_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace fighatch::load {
+
+/// Counts latencies in buckets of at most 1/16 relative width, from 1 microsecond to about an hour.
+class LatencyHistogram {
+ public:
+  void Add(std::chrono::nanoseconds latency) noexcept;
+
+  [[nodiscard]] std::uint64_t Count() const noexcept { return m_count; }
+
+  /// Upper edge of the bucket in which the quantile (0 to 1) lies; 0 if nothing was added.
+  [[nodiscard]] std::chrono::microseconds Quantile(double quantile) const noexcept;
+
+ private:
+  static constexpr unsigned kSubBits = 4;
+  static constexpr std::size_t kBuckets = (32 - kSubBits + 1) << kSubBits;
+
+  std::array<std::uint64_t, kBuckets> m_buckets{};
+  std::uint64_t m_count = 0;
+};
+
+}  // namespace fighatch::load
+
+#endif  // FIGHATCH_PROGRAMS_LOAD_LATENCY_HISTOGRAM_H_
--- /dev/null
+++ b/programs/load/report.h
@@ -0,0 +1,59 @@
+#ifndef FIGHATCH_PROGRAMS_LOAD_REPORT_H_
+#define FIGHATCH_PROGRAMS_LOAD_REPORT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "latency_histogram.h"
+
+namespace fighatch::load {
+
+/// What happened in one interval of the run.
+struct TimelinePoint {
+  std::uint64_t m_started = 0;
+  std::uint64_t m_good = 0;
+  std::uint64_t m_bad = 0;
+};
+
+/// What happened to the flows or requests of one service.
+struct ServiceReport {
+  std::string m_service;
+  std::string m_kind;
+  std::uint64_t m_started = 0;
+  /// Flows: established. Requests: answered.
+  std::uint64_t m_established = 0;
+  std::uint64_t m_completed = 0;
+  /// Flows that were established and then reset or silent.
+  std::uint64_t m_broken = 0;
+  /// Flows that never opened.
+  std::uint64_t m_failed_to_open = 0;
+  std::uint64_t m_not_run = 0;
+  std::uint64_t m_unknown = 0;
+  std::uint64_t m_no_answer = 0;
+  std::uint64_t m_resends = 0;
+  /// Answers that belong to another request, or segments of another target or service.
+  std::uint64_t m_wrong_answers = 0;
+  std::uint64_t m_truncated_answers = 0;
+  /// From the intended start, so that a stalled tool does not hide latency (coordinated omission).
+  LatencyHistogram m_latency;
+  std::vector<TimelinePoint> m_timeline;
+};
+
+/// Length of a timeline interval.
+inline constexpr std::chrono::milliseconds kTimelineInterval{250};
+
+/// The timeline point for a time since the start of the run.
+[[nodiscard]] TimelinePoint& TimelineAt(ServiceReport& report, std::chrono::nanoseconds since_start);
+
+/// The reports as a JSON document.
+[[nodiscard]] std::string ToJson(const std::vector<const ServiceReport*>& reports, std::chrono::nanoseconds duration);
+
+/// An SVG plot of good and bad outcomes over time, one panel for each report.
+[[nodiscard]] std::string ToSvg(const std::vector<const ServiceReport*>& reports);
+
+}  // namespace fighatch::load
+
+#endif  // FIGHATCH_PROGRAMS_LOAD_REPORT_H_
--- /dev/null
+++ b/src/daemon/program.cc
@@ -0,0 +1,46 @@
+#include "daemon/program.h"
+
+#include <glog/logging.h>
+
+#include <cxxopts.hpp>
+
+#include "config/json_reader.h"
+
+namespace fighatch::daemon {
+
+ParsedCommandLine ParseCommandLine(int argc, char** argv, const ProgramInfo& info) {
+  ParsedCommandLine parsed;
+  const std::string name(info.m_name);
+  cxxopts::Options options(name, std::string(info.m_summary));
+  options.add_options()("c,config", "Settings file (JSON with comments)", cxxopts::value<std::string>())(
+      "check-config", "Check the settings and exit")("h,help", "Print this help")("version", "Print the version");
+  try {
+    const cxxopts::ParseResult result = options.parse(argc, argv);
+    if (result.count("help") > 0) {
+      std::cout << options.help();
+      parsed.m_exit = ExitCode::kOk;
+    } else if (result.count("version") > 0) {
+      std::cout << name << " " << FIGHATCH_VERSION << "\n";
+      parsed.m_exit = ExitCode::kOk;
+    } else if (result.count("config") == 0) {
+      std::cerr << name << ": --config FILE is required; see --help\n";
+      parsed.m_exit = ExitCode::kUsage;
+    } else {
+      parsed.m_options = {result["config"].as<std::string>(), result.count("check-config") > 0};
+    }
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << name << ": " << error.what() << "; see --help\n";
+    parsed.m_exit = ExitCode::kUsage;
+  }
+  return parsed;
+}
+
+void StartLogging(std::string_view program) {
+  FLAGS_logtostderr = true;
+  static const std::string name(program);  // glog keeps the pointer.
+  google::InitGoogleLogging(name.c_str());
+}
+
+Result<std::string> ReadSettingsFile(const std::string& path) { return config::ReadTextFile(path); }
+
+}  // namespace fighatch::daemon
--- /dev/null
+++ b/src/daemon/program.h
@@ -0,0 +1,67 @@
+#ifndef FIGHATCH_DAEMON_PROGRAM_H_
+#define FIGHATCH_DAEMON_PROGRAM_H_
+
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fighatch/result.h"
+
+namespace fighatch::daemon {
+
+/// Exit codes that all daemons share.
+enum class ExitCode : int { kOk = 0, kFailed = 1, kUsage = 2, kBadSettings = 3 };
+
+/// What `--help` says of a program.
+struct ProgramInfo {
+  std::string_view m_name;
+  std::string_view m_summary;
+};
+
+/// The options that every daemon takes.
+struct ProgramOptions {
+  std::string m_settings_path;
+  bool m_check_only = false;
+};
+
+/// Handles `--help`, `--version` and wrong usage; the exit code is set if the program must end at once.
+struct ParsedCommandLine {
+  ProgramOptions m_options;
+  std::optional<ExitCode> m_exit;
+};
+
+/// Parses `--config FILE`, `--check-config`, `--help` and `--version`.
+[[nodiscard]] ParsedCommandLine ParseCommandLine(int argc, char** argv, const ProgramInfo& info);
+
+/// Starts logging to standard error with one line an event.
+void StartLogging(std::string_view program);
+
+/// Reads a whole settings file. Errors: `kSettingsUnreadable`.
+[[nodiscard]] Result<std::string> ReadSettingsFile(const std::string& path);
+
+/// The common frame of a daemon: command line, settings, logging, then `run`.
+template <typename Settings>
+int RunProgram(int argc, char** argv, const ProgramInfo& info, Result<Settings> (*parse)(std::string_view text),
+               const std::function<ExitCode(const Settings&)>& run) {
+  const ParsedCommandLine command_line = ParseCommandLine(argc, argv, info);
+  if (command_line.m_exit) return static_cast<int>(*command_line.m_exit);
+  const Result<std::string> text = ReadSettingsFile(command_line.m_options.m_settings_path);
+  Result<Settings> settings = IsOk(text) ? parse(ValueOf(text)) : Result<Settings>(ErrorOf(text));
+  if (!IsOk(settings)) {
+    std::cerr << info.m_name << ": " << command_line.m_options.m_settings_path << ": " << ToString(ErrorOf(settings))
+              << "\n";
+    return static_cast<int>(ExitCode::kBadSettings);
+  }
+  if (command_line.m_options.m_check_only) {
+    std::cout << command_line.m_options.m_settings_path << ": ok\n";
+    return static_cast<int>(ExitCode::kOk);
+  }
+  StartLogging(info.m_name);
+  return static_cast<int>(run(ValueOf(settings)));
+}
+
+}  // namespace fighatch::daemon
+
+#endif  // FIGHATCH_DAEMON_PROGRAM_H_
--- /dev/null
+++ b/src/observe/trace_context.cc
@@ -0,0 +1,41 @@
+#include "observe/trace_context.h"
+
+#include <algorithm>
+
+namespace fighatch::observe {
+namespace {
+
+constexpr std::size_t kTraceIdDigits = 32;
+constexpr std::size_t kSpanIdDigits = 16;
+// "00-", trace id, "-", span id, "-", two digits of flags.
+constexpr std::size_t kTraceIdAt = 3;
+constexpr std::size_t kSpanIdAt = kTraceIdAt + kTraceIdDigits + 1;
+constexpr std::size_t kFlagsAt = kSpanIdAt + kSpanIdDigits + 1;
+constexpr std::size_t kLength = kFlagsAt + 2;
+
+bool IsLowerHex(std::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f'); });
+}
+
+bool IsAllZero(std::string_view text) { return text.find_first_not_of('0') == std::string_view::npos; }
+
+}  // namespace
+
+std::optional<TraceContext> ParseTraceparent(std::string_view text) {
+  if (text.size() != kLength || text.substr(0, kTraceIdAt) != "00-") return std::nullopt;
+  if (text[kSpanIdAt - 1] != '-' || text[kFlagsAt - 1] != '-') return std::nullopt;
+  const std::string_view trace_id = text.substr(kTraceIdAt, kTraceIdDigits);
+  const std::string_view span_id = text.substr(kSpanIdAt, kSpanIdDigits);
+  const std::string_view flags = text.substr(kFlagsAt);
+  if (!IsLowerHex(trace_id) || !IsLowerHex(span_id) || !IsLowerHex(flags)) return std::nullopt;
+  if (IsAllZero(trace_id) || IsAllZero(span_id)) return std::nullopt;
+  const std::string_view odd_digits = "13579bdf";
+  return TraceContext{std::string(trace_id), std::string(span_id), odd_digits.find(flags[1]) != std::string_view::npos};
+}
+
+std::string ToTraceparent(const TraceContext& context) {
+  return "00-" + context.m_trace_id + "-" + context.m_span_id + (context.m_sampled ? "-01" : "-00");
+}
+
+}  // namespace fighatch::observe
--- /dev/null
+++ b/tests/observe_test.cc
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "observe/metrics.h"
+#include "observe/trace_context.h"
+#include "observe/tracer.h"
+
+namespace fighatch::observe {
+namespace {
+
+constexpr std::string_view kParent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+// Guards against a page that a Prometheus server cannot read: one header for a family, labels escaped.
+TEST(MetricsTest, RendersFamiliesWithLabels) {
+  Metrics metrics;
+  metrics.AddCounter("fighatch_a_total", "Help.", {{"code", "1001"}}, [] { return 3.0; });
+  metrics.AddCounter("fighatch_a_total", "Help.", {{"code", "1002"}}, [] { return 4.0; });
+  metrics.AddGauge("fighatch_b", "Other.", {}, [] { return 0.5; });
+  EXPECT_EQ(metrics.Render(),
+            "# HELP fighatch_a_total Help.\n# TYPE fighatch_a_total counter\n"
+            "fighatch_a_total{code=\"1001\"} 3\nfighatch_a_total{code=\"1002\"} 4\n"
+            "# HELP fighatch_b Other.\n# TYPE fighatch_b gauge\nfighatch_b 0.5\n");
+}
+
+// Guards against callers' header text reaching the trace file unchecked.
+TEST(TraceContextTest, RefusesMalformedHeaders) {
+  EXPECT_TRUE(ParseTraceparent(kParent));
+  EXPECT_EQ(ToTraceparent(*ParseTraceparent(kParent)), kParent);
+  for (const std::string_view bad : {"", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331",
+                                     "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                                     "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                                     "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+                                     "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
+                                     "00-0af7651916cd43dd8448eb211c80319c_b7ad6b7169203331-01"}) {
+    EXPECT_FALSE(ParseTraceparent(bad)) << bad;
+  }
+}
+
+// Guards against spans that cannot be joined to a trace: the child names its parent and the caller's trace.
+TEST(TracerTest, WritesChildOfTheCallersSpan) {
+  const std::string path = testing::TempDir() + "fighatch_trace_test.json";
+  std::remove(path.c_str());
+  {
+    Result<std::unique_ptr<Tracer>> tracer = Tracer::Open(path, "balancer", "7");
+    ASSERT_TRUE(IsOk(tracer));
+    Span span = ValueOf(tracer)->Continue("receive", kParent);
+    span.SetTag("service", "crate-desk");
+    EXPECT_EQ(span.Context().m_trace_id, "0af7651916cd43dd8448eb211c80319c");
+    (void)ValueOf(tracer)->Continue("receive", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00");
+  }
+  std::ifstream file(path);
+  std::string line;
+  ASSERT_TRUE(std::getline(file, line));
+  const nlohmann::json span = nlohmann::json::parse(line);
+  EXPECT_EQ(span["traceId"], "0af7651916cd43dd8448eb211c80319c");
+  EXPECT_EQ(span["parentId"], "b7ad6b7169203331");
+  EXPECT_EQ(span["name"], "receive");
+  EXPECT_EQ(span["tags"]["service"], "crate-desk");
+  EXPECT_FALSE(std::getline(file, line)) << "a request that is not sampled must leave no span";
+}
+
+}  // namespace
+}  // namespace fighatch::observe
