Add TicketProcessor, state deltas, a single-host fighatch-control and fighatchctl

Cause: balancers and operators need the ticket interface before the replicated log exists.

Conclusion: the HTTP interface can be used; acceptance is not durable yet.

--- /dev/null
+++ b/include/fighatch/ticket_processor.h
@@ -0,0 +1,147 @@
+#ifndef FIGHATCH_TICKET_PROCESSOR_H_
+#define FIGHATCH_TICKET_PROCESSOR_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "fighatch/ids.h"
+#include "fighatch/result.h"
+#include "fighatch/state_delta.h"
+#include "fighatch/state_document.h"
+#include "fighatch/ticket.h"
+
+namespace fighatch {
+
+/// Accepted tickets that are remembered, one week at the planned 39,000 tickets a day. A number below all of them that
+/// is not remembered is refused with `kTicketNumberTooLow`, so that forgetting never gives a number a second winner.
+inline constexpr std::size_t kMaxRememberedTickets = 1 << 18;
+
+/// Largest encoded ticket: it travels in one message of at most 64 KiB. Short JSON objects grow when encoded.
+inline constexpr std::size_t kMaxEncodedTicketBytes = 56 * 1024;
+
+/// The answer to a ticket: `kOk` if it is accepted.
+struct TicketAnswer {
+  TicketNumber m_number;
+  ErrorCode m_code = ErrorCode::kOk;
+  std::string m_detail;
+  /// The digest of the accepted ticket of this number; that of the refused ticket if there is none.
+  TicketDigest m_digest{};
+  /// The version at which the ticket came into force; unset for a refused ticket.
+  Version m_version;
+
+  friend bool operator==(const TicketAnswer&, const TicketAnswer&) = default;
+};
+
+/// What is remembered of an accepted ticket.
+struct AcceptedTicket {
+  TicketDigest m_digest{};
+  std::string m_author;
+  Version m_version;
+
+  friend bool operator==(const AcceptedTicket&, const AcceptedTicket&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_digest, m_author, m_version);
+  }
+};
+
+/// The deterministic state machine over the replicated log: equal tickets in equal order give equal answers and equal
+/// state on every host.
+///
+/// \code
+/// TicketProcessor processor;
+/// const TicketAnswer answer = processor.Apply(ticket, {term, index});
+/// Serve(processor.State());
+/// \endcode
+class TicketProcessor {
+ public:
+  /// Validates a ticket and brings it into force at `version`, which is above all versions given before. A refused
+  /// ticket changes nothing and its number stays free.
+  TicketAnswer Apply(const Ticket& ticket, Version version);
+
+  /// The answer to a number whose ticket was accepted: accepted for an equal digest, `kTicketNumberConflict` otherwise.
+  /// Empty if no ticket of this number is known.
+  [[nodiscard]] std::optional<TicketAnswer> Find(TicketNumber number, const TicketDigest& digest) const;
+
+  /// What is remembered of an accepted ticket; null if there is none.
+  [[nodiscard]] const AcceptedTicket* FindAccepted(TicketNumber number) const;
+
+  [[nodiscard]] const StateDocument& State() const noexcept { return m_data.m_state; }
+
+  /// What a receiver at `version` is missing; empty if it has the newest version. It is a snapshot if the version is
+  /// unknown here or more than `kMaxDeltaChanges` behind.
+  [[nodiscard]] std::optional<StateDelta> DeltaSince(Version version) const;
+
+  /// Encodes everything that answers depend on.
+  [[nodiscard]] std::vector<std::byte> EncodeSnapshot() const;
+
+  /// Replaces all by a snapshot. Errors: `kMessageMalformed`; then nothing has changed.
+  [[nodiscard]] Status Restore(std::span<const std::byte> snapshot);
+
+ private:
+  struct Change {
+    Version m_version;
+    TicketNumber m_number;
+    std::vector<std::string> m_services;
+    std::vector<std::string> m_data_centres;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(m_version, m_number, m_services, m_data_centres);
+    }
+  };
+
+  // Everything that a snapshot holds.
+  struct Data {
+    StateDocument m_state;
+    std::map<TicketNumber, AcceptedTicket> m_accepted;
+    // Numbers up to here are refused unless they are remembered.
+    TicketNumber m_forgotten_up_to;
+    // The ticket that removed a service, so that an older ticket does not bring it back.
+    std::map<std::string, TicketNumber> m_removed;
+    Version m_before_changes;
+    std::vector<Change> m_changes;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(m_state, m_accepted, m_forgotten_up_to, m_removed, m_before_changes, m_changes);
+    }
+  };
+
+  // The first reason to refuse the ticket; kOk if there is none.
+  [[nodiscard]] Error CheckShape(const Ticket& ticket) const;
+  [[nodiscard]] Error CheckNumbers(const Ticket& ticket) const;
+  [[nodiscard]] Error CheckDataCentreNames(const Ticket& ticket) const;
+  [[nodiscard]] Error CheckAddresses(const Ticket& ticket) const;
+  [[nodiscard]] Error CheckDataCentresIn(const Ticket& ticket) const;
+  [[nodiscard]] Error Check(const Ticket& ticket) const;
+  [[nodiscard]] const Service* ServiceAfter(const Ticket& ticket, const std::string& name) const;
+  [[nodiscard]] const DataCentre* DataCentreAfter(const Ticket& ticket, const std::string& name) const;
+  [[nodiscard]] bool HasNoDataCentreIn(const Ticket& ticket, const Service& service) const;
+
+  void BringIntoForce(const Ticket& ticket, Version version);
+  void SetService(const Ticket& ticket, const Service& service);
+  void RemoveService(const Ticket& ticket, const std::string& name);
+  void SetDataCentre(const Ticket& ticket, const DataCentre& data_centre);
+  void RecordChange(const Ticket& ticket, Version version);
+  void RememberAccepted(const Ticket& ticket, const TicketDigest& digest, Version version);
+  void IndexAddresses(const Service& service);
+  void UnindexAddresses(const Service& service);
+  [[nodiscard]] StateDelta MakeDelta(std::size_t first_change, Version from) const;
+  [[nodiscard]] std::uint64_t Digest() const;
+
+  Data m_data;
+  std::map<ServiceAddress, std::set<std::string>> m_address_owners;
+  // Digest of the state, computed at the first use after a change.
+  mutable std::optional<std::uint64_t> m_digest;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_TICKET_PROCESSOR_H_
--- /dev/null
+++ b/programs/ctl/commands.cc
@@ -0,0 +1,327 @@
+#include "commands.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/fiber/operations.hpp>
+#include <iostream>
+#include <string_view>
+
+#include "config/json_reader.h"
+#include "control_client.h"
+#include "daemon/operator_key.h"
+#include "fighatch/ticket.h"
+#include "state/state_json.h"
+
+namespace fighatch::ctl {
+namespace {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+using std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kPollInterval{50};
+constexpr std::chrono::milliseconds kWatchInterval{1000};
+
+ControlClient MakeClient(const CommandLine& line) {
+  return {line.m_control_hosts, steady_clock::now() + line.m_deadline};
+}
+
+ExitCode Usage(const std::string& text) {
+  std::cerr << text << "\n";
+  return ExitCode::kUsage;
+}
+
+ExitCode NoAnswer(const Error& error, bool was_ticket) {
+  std::cerr << "no final answer before the deadline; last: " << error.m_detail << "\n";
+  std::cerr << (was_ticket ? "next: run the same command again (a resend is safe), or ask with `where NUMBER`\n"
+                           : "next: check --control and that a control host runs, or raise --deadline\n");
+  return ExitCode::kNoAnswer;
+}
+
+std::string JoinHosts(const std::vector<std::uint32_t>& hosts) {
+  std::string text;
+  for (const std::uint32_t host : hosts) text += (text.empty() ? "" : ",") + std::to_string(host);
+  return text.empty() ? "none" : text;
+}
+
+void PrintPlaces(const CommandLine& line, TicketNumber number, const TicketPlaces& places) {
+  if (line.m_json) {
+    ordered_json out{{"number", number.m_value},      {"accepted", places.m_accepted},
+                     {"digest", places.m_digest},     {"generation", places.m_generation},
+                     {"in_force", places.m_in_force}, {"not_in_force", places.m_not_in_force}};
+    out["silent_control_hosts"] = ordered_json::array();
+    for (const Endpoint& host : places.m_silent) out["silent_control_hosts"].push_back(ToString(host));
+    std::cout << out.dump() << "\n";
+    return;
+  }
+  std::cout << "ticket " << number.m_value << ": " << (places.m_accepted ? "accepted" : "not accepted") << "\n";
+  if (places.m_accepted) {
+    std::cout << "digest " << places.m_digest << "\ngeneration " << places.m_generation << "\nin force on hosts "
+              << JoinHosts(places.m_in_force) << "\nnot yet in force on hosts " << JoinHosts(places.m_not_in_force)
+              << "\n";
+  }
+  for (const Endpoint& host : places.m_silent) std::cout << "no answer from control host " << ToString(host) << "\n";
+}
+
+std::string NextStep(int code) {
+  switch (static_cast<ErrorCode>(code)) {
+    case ErrorCode::kTicketMalformed:
+      return "mend the named field in the file";
+    case ErrorCode::kTicketNumberConflict:
+      return "look at the winner with `where NUMBER`, then use a new number";
+    case ErrorCode::kTicketNumberTooLow:
+      return "look at `show`, then use a number above the one named";
+    case ErrorCode::kTicketBadSignature:
+      return "use the operator key of this deployment with --key";
+    case ErrorCode::kTicketTooLarge:
+      return "split the ticket into several";
+    default:
+      return "mend the ticket, or set \"force\": true in it if this is meant";
+  }
+}
+
+ExitCode WaitInForce(const CommandLine& line, ControlClient* client, TicketNumber number) {
+  TicketPlaces places = client->FindTicket(number);
+  while (!places.m_not_in_force.empty() && !client->IsPastDeadline()) {
+    boost::this_fiber::sleep_for(kPollInterval);
+    TicketPlaces newer = client->FindTicket(number);
+    if (newer.m_accepted) places = std::move(newer);
+  }
+  places.m_accepted = true;
+  PrintPlaces(line, number, places);
+  if (places.m_not_in_force.empty()) return ExitCode::kOk;
+  std::cerr << "accepted, but not in force everywhere before the deadline\nnext: ask again with `where "
+            << number.m_value << "`\n";
+  return ExitCode::kNotInForce;
+}
+
+ExitCode Submit(const CommandLine& line, const std::string& text) {
+  const Result<Ticket> ticket = ParseTicket(text);
+  if (!IsOk(ticket)) return Usage(ToString(ErrorOf(ticket)) + "\nnext: mend the named field");
+  const Result<daemon::OperatorKey> key = daemon::OperatorKey::Load(line.m_key_file);
+  if (!IsOk(key)) return Usage(ToString(ErrorOf(key)) + "\nnext: name the operator key file with --key");
+  ControlClient client = MakeClient(line);
+  const Result<json> answer = client.SubmitTicket(text, ValueOf(key).Sign(text));
+  if (!IsOk(answer)) return NoAnswer(ErrorOf(answer), true);
+  const json& found = ValueOf(answer);
+  if (found.value("code", -1) == 0) {
+    if (line.m_wait) return WaitInForce(line, &client, ValueOf(ticket).m_number);
+    std::cout << (line.m_json ? found.dump() : "accepted") << "\n";
+    return ExitCode::kOk;
+  }
+  if (line.m_json) std::cout << found.dump() << "\n";
+  std::cerr << "refused: code=" << found.value("code", -1) << " error=" << found.value("error", "") << " "
+            << found.value("detail", "") << "\nnext: " << NextStep(found.value("code", -1)) << "\n";
+  return ExitCode::kRefused;
+}
+
+ExitCode Apply(const CommandLine& line) {
+  const Result<std::string> text = config::ReadTextFile(line.m_arguments[0]);
+  if (!IsOk(text)) return Usage("cannot read " + line.m_arguments[0]);
+  return Submit(line, ValueOf(text));
+}
+
+void PrintState(const json& state) {
+  std::cout << "version " << state.value("epoch", 0ULL) << "." << state.value("generation", 0ULL) << "\n";
+  for (const json& data_centre : state.value("data_centres", json::array())) {
+    std::cout << "data centre " << data_centre.value("name", "") << ": " << data_centre.value("state", "")
+              << ", region " << data_centre.value("region", "") << ", ticket " << data_centre.value("ticket", 0ULL)
+              << "\n";
+  }
+  for (const json& service : state.value("services", json::array())) {
+    std::cout << "service " << service.value("name", "") << ": mode " << service.value("mode", "") << ", ticket "
+              << service.value("ticket", 0ULL);
+    for (const json& address : service.value("addresses", json::array())) {
+      std::cout << ", " << address.value("transport", "") << " " << address.value("endpoint", "");
+    }
+    std::cout << "\n";
+  }
+}
+
+ExitCode Show(const CommandLine& line) {
+  const Result<json> state = MakeClient(line).Get("/v1/state");
+  if (!IsOk(state)) return NoAnswer(ErrorOf(state), false);
+  if (line.m_json) {
+    std::cout << ValueOf(state).dump() << "\n";
+  } else {
+    PrintState(ValueOf(state));
+  }
+  return ExitCode::kOk;
+}
+
+ExitCode Where(const CommandLine& line) {
+  TicketNumber number;
+  try {
+    number.m_value = std::stoull(line.m_arguments[0]);
+  } catch (const std::exception&) {
+    return Usage("not a ticket number: " + line.m_arguments[0]);
+  }
+  const TicketPlaces places = MakeClient(line).FindTicket(number);
+  if (places.m_silent.size() == line.m_control_hosts.size()) {
+    return NoAnswer(MakeError(ErrorCode::kIoTimeout, "no control host answered"), false);
+  }
+  PrintPlaces(line, number, places);
+  if (!places.m_accepted) return ExitCode::kNotFound;
+  return places.m_not_in_force.empty() ? ExitCode::kOk : ExitCode::kNotInForce;
+}
+
+const json* FindByName(const json& list, const std::string& name) {
+  const auto found =
+      std::find_if(list.begin(), list.end(), [&name](const json& entry) { return entry.value("name", "") == name; });
+  return found == list.end() ? nullptr : &*found;
+}
+
+// Prints the fields of an object that a ticket would change; returns their number.
+int PrintDifferences(const std::string& kind, const json& after, const json& state_list) {
+  const std::string name = after.value("name", "");
+  const json* before = FindByName(state_list, name);
+  int differences = 0;
+  for (const auto& [field, value] : after.items()) {
+    if (field == "id" || field == "ticket") continue;
+    const json old = before == nullptr ? json() : before->value(field, json());
+    if (old == value) continue;
+    ++differences;
+    if (!old.is_null()) std::cout << "- " << kind << " " << name << " " << field << " " << old.dump() << "\n";
+    std::cout << "+ " << kind << " " << name << " " << field << " " << value.dump() << "\n";
+  }
+  return differences;
+}
+
+ExitCode Diff(const CommandLine& line) {
+  const Result<std::string> text = config::ReadTextFile(line.m_arguments[0]);
+  if (!IsOk(text)) return Usage("cannot read " + line.m_arguments[0]);
+  const Result<Ticket> ticket = ParseTicket(ValueOf(text));
+  if (!IsOk(ticket)) return Usage(ToString(ErrorOf(ticket)) + "\nnext: mend the named field");
+  const Result<json> state = MakeClient(line).Get("/v1/state");
+  if (!IsOk(state)) return NoAnswer(ErrorOf(state), false);
+  const json services = ValueOf(state).value("services", json::array());
+  const json data_centres = ValueOf(state).value("data_centres", json::array());
+  int differences = 0;
+  for (const DataCentre& data_centre : ValueOf(ticket).m_data_centres) {
+    differences += PrintDifferences("data centre", json(DataCentreToJson(data_centre)), data_centres);
+  }
+  for (const Service& service : ValueOf(ticket).m_services) {
+    differences += PrintDifferences("service", json(ServiceToJson(service)), services);
+  }
+  for (const std::string& name : ValueOf(ticket).m_removed_services) {
+    if (FindByName(services, name) == nullptr) continue;
+    ++differences;
+    std::cout << "- service " << name << "\n";
+  }
+  return differences == 0 ? ExitCode::kOk : ExitCode::kDifferent;
+}
+
+// The next number after all that are in force, unless the command line gives one.
+std::uint64_t ChooseNumber(const CommandLine& line, const json& state) {
+  if (line.m_number != 0) return line.m_number;
+  std::uint64_t highest = 0;
+  for (const json& number : state.value("recent_tickets", json::array())) {
+    highest = std::max(highest, number.get<std::uint64_t>());
+  }
+  return highest + 1;
+}
+
+ExitCode SubmitObject(const CommandLine& line, const json& state, const char* list, json object) {
+  object.erase("id");
+  object.erase("ticket");
+  ordered_json ticket{{"number", ChooseNumber(line, state)}, {"author", line.m_author}, {"force", line.m_force}};
+  ticket[list] = json::array({object});
+  return Submit(line, ticket.dump());
+}
+
+ExitCode SetDataCentre(const CommandLine& line, const char* new_state) {
+  const Result<json> state = MakeClient(line).Get("/v1/state");
+  if (!IsOk(state)) return NoAnswer(ErrorOf(state), false);
+  const json data_centres = ValueOf(state).value("data_centres", json::array());
+  const json* found = FindByName(data_centres, line.m_arguments[0]);
+  if (found == nullptr) return Usage("no data centre " + line.m_arguments[0] + "\nnext: see `show` for the names");
+  json changed = *found;
+  changed["state"] = new_state;
+  return SubmitObject(line, ValueOf(state), "data_centres", changed);
+}
+
+ExitCode Out(const CommandLine& line) { return SetDataCentre(line, "out"); }
+
+ExitCode In(const CommandLine& line) { return SetDataCentre(line, "in"); }
+
+ExitCode Drain(const CommandLine& line) {
+  const Result<json> state = MakeClient(line).Get("/v1/state");
+  if (!IsOk(state)) return NoAnswer(ErrorOf(state), false);
+  const json services = ValueOf(state).value("services", json::array());
+  const json* found = FindByName(services, line.m_arguments[0]);
+  if (found == nullptr) return Usage("no service " + line.m_arguments[0] + "\nnext: see `show` for the names");
+  json changed = *found;
+  bool has_weight = false;
+  for (json& weight : changed["weights"]) {
+    if (weight.value("data_centre", "") != line.m_arguments[1]) continue;
+    weight["weight"] = 0;
+    has_weight = true;
+  }
+  if (!has_weight) return Usage("service " + line.m_arguments[0] + " has no weight in " + line.m_arguments[1]);
+  return SubmitObject(line, ValueOf(state), "services", changed);
+}
+
+ExitCode Watch(const CommandLine& line) {
+  std::string last;
+  for (;;) {
+    const Result<json> hosts = MakeClient(line).Get("/v1/hosts");
+    const Result<json> health = MakeClient(line).Get("/v1/health");
+    std::string text = "no control host answers";
+    if (IsOk(hosts) && IsOk(health)) {
+      const json& state = ValueOf(health);
+      text = "version " + std::to_string(state.value("epoch", 0ULL)) + "." +
+             std::to_string(state.value("generation", 0ULL)) + " leader " + std::to_string(state.value("leader", 0U));
+      for (const json& host : ValueOf(hosts).value("balancers", json::array())) {
+        text += " host" + std::to_string(host.value("host", 0U)) + "=" + std::to_string(host.value("epoch", 0ULL)) +
+                "." + std::to_string(host.value("generation", 0ULL));
+      }
+    }
+    if (text != last) std::cout << (line.m_json ? json{{"status", text}}.dump() : text) << std::endl;
+    last = text;
+    boost::this_fiber::sleep_for(kWatchInterval);
+  }
+}
+
+struct Command {
+  std::string_view m_name;
+  std::string_view m_arguments;
+  std::size_t m_argument_count;
+  ExitCode (*m_run)(const CommandLine&);
+  std::string_view m_help;
+};
+
+constexpr std::array kCommands{
+    Command{"apply", "FILE", 1, Apply, "send a ticket and wait until it is in force on every host"},
+    Command{"show", "", 0, Show, "print the state"},
+    Command{"where", "NUMBER", 1, Where, "say whether a ticket is accepted and where it is in force"},
+    Command{"diff", "FILE", 1, Diff, "print what a ticket would change"},
+    Command{"drain", "SERVICE DC", 2, Drain, "set the weight of a service in a data centre to 0"},
+    Command{"out", "DC", 1, Out, "take a data centre out"},
+    Command{"in", "DC", 1, In, "bring a data centre back in"},
+    Command{"watch", "", 0, Watch, "print the versions in force whenever they change"},
+};
+
+}  // namespace
+
+ExitCode RunCommand(const CommandLine& line) {
+  for (const Command& command : kCommands) {
+    if (command.m_name != line.m_command) continue;
+    if (line.m_arguments.size() == command.m_argument_count) return command.m_run(line);
+    return Usage("use: " + line.m_command + " " + std::string(command.m_arguments));
+  }
+  return Usage("unknown command " + line.m_command + "; see --help");
+}
+
+std::string CommandHelp() {
+  std::string text = "Commands:\n";
+  for (const Command& command : kCommands) {
+    std::string use = std::string(command.m_name) + " " + std::string(command.m_arguments);
+    use.resize(std::max<std::size_t>(use.size(), 18), ' ');
+    text += "  " + use + " " + std::string(command.m_help) + "\n";
+  }
+  return text +
+         "\nExit codes: 0 done, 1 wrong use or unreadable file, 2 ticket refused, 3 no answer before the deadline,\n"
+         "  4 accepted but not in force everywhere, 5 no such ticket, 6 the file differs from the state\n";
+}
+
+}  // namespace fighatch::ctl
--- /dev/null
+++ b/programs/ctl/commands.h
@@ -0,0 +1,52 @@
+#ifndef FIGHATCH_PROGRAMS_CTL_COMMANDS_H_
+#define FIGHATCH_PROGRAMS_CTL_COMMANDS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fighatch/address.h"
+
+namespace fighatch::ctl {
+
+/// The exit codes of `fighatchctl`; `--help` lists them.
+enum class ExitCode : int {
+  kOk = 0,
+  /// Wrong use, an unreadable file or bad settings: nothing was sent.
+  kUsage = 1,
+  /// The ticket was refused: nothing was changed.
+  kRefused = 2,
+  /// No final answer came before the deadline: the ticket may have been accepted.
+  kNoAnswer = 3,
+  /// The ticket was accepted but is not yet in force on every host.
+  kNotInForce = 4,
+  /// No ticket of this number was accepted.
+  kNotFound = 5,
+  /// The file differs from the state.
+  kDifferent = 6,
+};
+
+/// The command line.
+struct CommandLine {
+  std::string m_command;
+  std::vector<std::string> m_arguments;
+  std::vector<Endpoint> m_control_hosts;
+  std::string m_key_file;
+  std::string m_author;
+  std::uint64_t m_number = 0;
+  std::chrono::milliseconds m_deadline{10000};
+  bool m_json = false;
+  bool m_wait = true;
+  bool m_force = false;
+};
+
+/// Runs the command and prints its result; must be called where a `Reactor` exists.
+[[nodiscard]] ExitCode RunCommand(const CommandLine& line);
+
+/// The names of the commands with their arguments, one a line.
+[[nodiscard]] std::string CommandHelp();
+
+}  // namespace fighatch::ctl
+
+#endif  // FIGHATCH_PROGRAMS_CTL_COMMANDS_H_
--- /dev/null
+++ b/src/daemon/control_http.cc
@@ -0,0 +1,230 @@
+#include "daemon/control_http.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "fighatch/state_delta.h"
+#include "state/state_json.h"
+
+namespace fighatch::daemon {
+namespace {
+
+using nlohmann::ordered_json;
+using std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kLongPoll{1000};
+// A long poll ends within this time of a planned stop.
+constexpr std::chrono::milliseconds kStopCheckInterval{100};
+// A follower that has not asked for this long is forgotten.
+constexpr std::chrono::minutes kFollowerMemory{10};
+constexpr std::size_t kMaxFollowers = 32768;
+
+int HttpStatusOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kOk:
+      return 200;
+    case ErrorCode::kTicketMalformed:
+      return 400;
+    case ErrorCode::kTicketBadSignature:
+      return 401;
+    case ErrorCode::kTicketTooLarge:
+      return 413;
+    case ErrorCode::kTicketNumberConflict:
+    case ErrorCode::kTicketNumberTooLow:
+      return 409;
+    case ErrorCode::kTicketNotLeader:
+    case ErrorCode::kTicketNoQuorum:
+      return 503;
+    default:
+      return 422;
+  }
+}
+
+HttpResponse JsonResponse(int status, const ordered_json& json) {
+  return {status, {{"Content-Type", "application/json"}}, json.dump() + "\n"};
+}
+
+HttpResponse ErrorResponse(int status, const Error& error) {
+  HttpResponse response = JsonResponse(
+      status,
+      {{"code", static_cast<int>(error.m_code)}, {"error", ErrorName(error.m_code)}, {"detail", error.m_detail}});
+  SetHeader(&response.m_headers, "Fighatch-Code", std::to_string(static_cast<int>(error.m_code)));
+  return response;
+}
+
+bool ParseNumber(const std::string& text, std::uint64_t* out) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), *out);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+std::map<std::string, std::string> ParseQuery(std::string_view query) {
+  std::map<std::string, std::string> parameters;
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) continue;
+    parameters.emplace(pair.substr(0, equals), pair.substr(equals + 1));
+  }
+  return parameters;
+}
+
+std::int64_t AgeMs(steady_clock::time_point since) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - since).count();
+}
+
+}  // namespace
+
+ControlHttp::ControlHttp(const config::ControlSettings& settings, const OperatorKey& key, TicketBackend* backend,
+                         ControlMetrics* metrics)
+    : m_settings(settings), m_key(key), m_backend(backend), m_metrics(metrics) {}
+
+HttpResponse ControlHttp::Handle(const HttpRequest& request) {
+  const std::size_t mark = request.m_path.find('?');
+  const std::string path = request.m_path.substr(0, mark);
+  const std::string query = mark == std::string::npos ? "" : request.m_path.substr(mark + 1);
+  constexpr std::string_view kTickets = "/v1/tickets";
+  if (path == kTickets && request.m_method == "POST") return PostTicket(request);
+  if (request.m_method != "GET") return ErrorResponse(405, MakeError(ErrorCode::kRequestMalformed, "method"));
+  if (path.starts_with("/v1/tickets/")) return GetTicket(path.substr(kTickets.size() + 1));
+  if (path == "/v1/state") return GetState();
+  if (path == "/v1/delta") return GetDelta(ParseQuery(query));
+  if (path == "/v1/hosts") return GetHosts();
+  if (path == "/v1/health") return GetHealth();
+  if (path == "/metrics") return GetMetrics();
+  return ErrorResponse(404, MakeError(ErrorCode::kRequestMalformed, "path " + path));
+}
+
+const config::ControlPeer* ControlHttp::FindPeer(HostId host) const {
+  for (const config::ControlPeer& peer : m_settings.m_control_hosts) {
+    if (peer.m_host == host) return &peer;
+  }
+  return nullptr;
+}
+
+HttpResponse ControlHttp::PostTicket(const HttpRequest& request) {
+  const auto start = steady_clock::now();
+  const auto refuse = [this](const Error& error) {
+    m_metrics->CountTicket(error.m_code);
+    return ErrorResponse(HttpStatusOf(error.m_code), error);
+  };
+  const std::string_view signature = FindHeader(request.m_headers, kSignatureHeader).value_or("");
+  if (!m_key.Verify(request.m_body, signature)) {
+    return refuse(MakeError(ErrorCode::kTicketBadSignature, "sign the body with the operator key"));
+  }
+  const Result<Ticket> ticket = ParseTicket(request.m_body);
+  if (!IsOk(ticket)) return refuse(ErrorOf(ticket));
+  const TicketAnswer answer = m_backend->Submit(ValueOf(ticket));
+  m_metrics->CountTicket(answer.m_code);
+  m_metrics->ObserveTicketSeconds(std::chrono::duration<double>(steady_clock::now() - start).count());
+  ordered_json json = AnswerToJson(answer);
+  if (answer.m_code == ErrorCode::kTicketNotLeader) {
+    if (const config::ControlPeer* leader = FindPeer(m_backend->GetStatus().m_leader)) {
+      json["leader"] = ToString(leader->m_http_endpoint);
+    }
+  }
+  HttpResponse response = JsonResponse(HttpStatusOf(answer.m_code), json);
+  SetHeader(&response.m_headers, "Fighatch-Code", std::to_string(static_cast<int>(answer.m_code)));
+  return response;
+}
+
+HttpResponse ControlHttp::GetTicket(const std::string& number_text) {
+  TicketNumber number;
+  if (!ParseNumber(number_text, &number.m_value)) {
+    return ErrorResponse(400, MakeError(ErrorCode::kRequestMalformed, "ticket number " + number_text));
+  }
+  const AcceptedTicket* accepted = m_backend->Processor().FindAccepted(number);
+  ordered_json json{{"number", number.m_value}, {"accepted", accepted != nullptr}};
+  if (accepted != nullptr) {
+    json["digest"] = DigestToHex(accepted->m_digest);
+    json["author"] = accepted->m_author;
+    json["epoch"] = accepted->m_version.m_epoch;
+    json["generation"] = accepted->m_version.m_generation;
+    json["in_force"] = ordered_json::array();
+    json["not_in_force"] = ordered_json::array();
+    for (const auto& [host, report] : m_followers) {
+      const bool in_force = report.m_in_force >= accepted->m_version;
+      json[in_force ? "in_force" : "not_in_force"].push_back(
+          {{"host", host.m_value}, {"age_ms", AgeMs(report.m_heard)}});
+    }
+  }
+  return JsonResponse(accepted == nullptr ? 404 : 200, json);
+}
+
+HttpResponse ControlHttp::GetState() const { return JsonResponse(200, StateToJson(m_backend->Processor().State())); }
+
+void ControlHttp::ReportFollower(HostId host, Version in_force) {
+  const auto now = steady_clock::now();
+  if (m_followers.size() >= kMaxFollowers && !m_followers.contains(host)) {
+    std::erase_if(m_followers, [now](const auto& entry) { return now - entry.second.m_heard > kFollowerMemory; });
+    if (m_followers.size() >= kMaxFollowers) return;
+  }
+  m_followers[host] = {in_force, now};
+}
+
+HttpResponse ControlHttp::GetDelta(const Parameters& parameters) {
+  Version version;
+  std::uint64_t host = 0;
+  const auto read = [&parameters](const char* name, std::uint64_t* out) {
+    const auto found = parameters.find(name);
+    return found != parameters.end() && ParseNumber(found->second, out);
+  };
+  if (!read("epoch", &version.m_epoch) || !read("generation", &version.m_generation) || !read("host", &host)) {
+    return ErrorResponse(400, MakeError(ErrorCode::kRequestMalformed, "epoch, generation and host are required"));
+  }
+  ReportFollower(HostId{static_cast<std::uint32_t>(host)}, version);
+  const auto deadline = steady_clock::now() + kLongPoll;
+  std::optional<StateDelta> delta = m_backend->Processor().DeltaSince(version);
+  while (!delta && !m_stopping && steady_clock::now() < deadline) {
+    m_backend->WaitForNewer(version, std::min(deadline, steady_clock::now() + kStopCheckInterval));
+    delta = m_backend->Processor().DeltaSince(version);
+  }
+  HttpResponse response{200, {{"Content-Type", "application/octet-stream"}}, ""};
+  if (delta) {
+    const std::vector<std::byte> bytes = EncodeDelta(*delta);
+    response.m_body.assign(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+  }
+  m_metrics->CountDelta(delta && delta->m_snapshot, response.m_body.size());
+  return response;
+}
+
+HttpResponse ControlHttp::GetHosts() const {
+  ordered_json json{{"balancers", ordered_json::array()}, {"control_hosts", ordered_json::array()}};
+  for (const auto& [host, report] : m_followers) {
+    json["balancers"].push_back({{"host", host.m_value},
+                                 {"epoch", report.m_in_force.m_epoch},
+                                 {"generation", report.m_in_force.m_generation},
+                                 {"age_ms", AgeMs(report.m_heard)}});
+  }
+  const ReplicaStatus status = m_backend->GetStatus();
+  for (const ReplicaMember& member : status.m_members) {
+    json["control_hosts"].push_back({{"host", member.m_host.m_value},
+                                     {"disk", member.m_disk},
+                                     {"voter", member.m_voter},
+                                     {"leader", member.m_host == status.m_leader}});
+  }
+  return JsonResponse(200, json);
+}
+
+HttpResponse ControlHttp::GetHealth() const {
+  const ReplicaStatus status = m_backend->GetStatus();
+  const Version version = m_backend->Processor().State().m_version;
+  return JsonResponse(200, {{"host", m_settings.m_host.m_value},
+                            {"data_centre", m_settings.m_data_centre},
+                            {"role", status.m_role},
+                            {"leader", status.m_leader.m_value},
+                            {"term", status.m_term},
+                            {"commit", status.m_commit_index},
+                            {"applied", status.m_applied_index},
+                            {"last", status.m_last_index},
+                            {"epoch", version.m_epoch},
+                            {"generation", version.m_generation}});
+}
+
+HttpResponse ControlHttp::GetMetrics() const {
+  return {200,
+          {{"Content-Type", "text/plain; version=0.0.4"}},
+          m_metrics->Serialize(m_backend->GetStatus(), m_followers.size())};
+}
+
+}  // namespace fighatch::daemon
--- /dev/null
+++ b/src/daemon/control_http.h
@@ -0,0 +1,57 @@
+#ifndef FIGHATCH_DAEMON_CONTROL_HTTP_H_
+#define FIGHATCH_DAEMON_CONTROL_HTTP_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "config/control_settings.h"
+#include "daemon/control_metrics.h"
+#include "daemon/operator_key.h"
+#include "daemon/ticket_backend.h"
+#include "fighatch/http_message.h"
+
+namespace fighatch::daemon {
+
+/// The HTTP interface of a control host towards operators and balancers.
+class ControlHttp {
+ public:
+  ControlHttp(const config::ControlSettings& settings, const OperatorKey& key, TicketBackend* backend,
+              ControlMetrics* metrics);
+
+  /// Answers one request; may suspend the fiber.
+  [[nodiscard]] HttpResponse Handle(const HttpRequest& request);
+
+  /// Ends long polls early, so that a planned stop does not wait for them.
+  void Stop() noexcept { m_stopping = true; }
+
+ private:
+  // What the last request for deltas of a host said.
+  struct FollowerReport {
+    Version m_in_force;
+    std::chrono::steady_clock::time_point m_heard;
+  };
+  using Parameters = std::map<std::string, std::string>;
+
+  [[nodiscard]] HttpResponse PostTicket(const HttpRequest& request);
+  [[nodiscard]] HttpResponse GetTicket(const std::string& number_text);
+  [[nodiscard]] HttpResponse GetState() const;
+  [[nodiscard]] HttpResponse GetDelta(const Parameters& parameters);
+  [[nodiscard]] HttpResponse GetHosts() const;
+  [[nodiscard]] HttpResponse GetHealth() const;
+  [[nodiscard]] HttpResponse GetMetrics() const;
+  void ReportFollower(HostId host, Version in_force);
+  [[nodiscard]] const config::ControlPeer* FindPeer(HostId host) const;
+
+  const config::ControlSettings& m_settings;
+  const OperatorKey& m_key;
+  TicketBackend* m_backend;
+  ControlMetrics* m_metrics;
+  std::map<HostId, FollowerReport> m_followers;
+  bool m_stopping = false;
+};
+
+}  // namespace fighatch::daemon
+
+#endif  // FIGHATCH_DAEMON_CONTROL_HTTP_H_
--- /dev/null
+++ b/src/daemon/operator_key.h
@@ -0,0 +1,35 @@
+#ifndef FIGHATCH_DAEMON_OPERATOR_KEY_H_
+#define FIGHATCH_DAEMON_OPERATOR_KEY_H_
+
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "fighatch/result.h"
+
+namespace fighatch::daemon {
+
+/// The header that carries the signature of a ticket.
+inline constexpr std::string_view kSignatureHeader = "Fighatch-Signature";
+
+/// The key with which operators sign tickets (HMAC-SHA-512/256).
+class OperatorKey {
+ public:
+  /// Reads a file that holds 64 hexadecimal digits. Errors: `kKeyUnreadable`.
+  [[nodiscard]] static Result<OperatorKey> Load(const std::string& path);
+
+  /// The signature of a ticket's JSON text in hexadecimal digits.
+  [[nodiscard]] std::string Sign(std::string_view text) const;
+
+  /// True if the signature was made with this key over this text; takes equal time for every wrong signature.
+  [[nodiscard]] bool Verify(std::string_view text, std::string_view signature) const;
+
+ private:
+  OperatorKey() = default;
+
+  std::array<unsigned char, 32> m_key{};
+};
+
+}  // namespace fighatch::daemon
+
+#endif  // FIGHATCH_DAEMON_OPERATOR_KEY_H_
