--- /dev/null
+++ b/include/fighatch/allowance_grantor.h
@@ -0,0 +1,159 @@
+#ifndef FIGHATCH_ALLOWANCE_GRANTOR_H_
+#define FIGHATCH_ALLOWANCE_GRANTOR_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "fighatch/lease_message.h"
+#include "fighatch/lease_times.h"
+#include "fighatch/random.h"
+#include "fighatch/table_update.h"
+
+namespace fighatch {
+
+/// A member of the data centre that counts for the majority.
+struct LeaseMember {
+  HostId m_host;
+  /// False for control hosts: they vouch and hold no tokens.
+  bool m_takes_tokens = true;
+  /// True if it announced that it leaves.
+  bool m_left = false;
+
+  friend bool operator==(const LeaseMember&, const LeaseMember&) = default;
+};
+
+/// Divides the allowances of a data centre's targets among its balancers, on the coordinator.
+///
+/// A token has a number below the target's capacity and belongs to one holder at a time. Its home is one of the n known
+/// members, chosen by rendezvous hashing; a coordinator grants only tokens whose home follows it. A member follows one
+/// coordinator at a time, so two coordinators that hear k and n - k members share the tokens k/n to (n - k)/n and never
+/// grant the same one.
+class AllowanceGrantor {
+ public:
+  AllowanceGrantor(HostId host, std::uint64_t epoch, std::vector<LeaseMember> members, std::uint32_t members_digest,
+                   std::uint64_t seed, TimePoint now);
+
+  /// Takes the members as the member list has them now, dead ones included. The list in use follows only while a
+  /// majority of it is heard: a member joins once it asks for leases, and goes when it has left or is declared gone.
+  void SetMembers(std::vector<LeaseMember> members, std::uint32_t members_digest, TimePoint now);
+
+  /// Sets how many requests all balancers together may have in progress at the target.
+  void SetAllowance(const TargetInfo& target, std::uint32_t allowance);
+
+  /// Forgets a target; only after `kUnknownUseEnds` with an allowance of 0, because tokens may be in use until then.
+  void Forget(TargetId target);
+
+  /// Answers a request; nothing for a request that is replayed, late or for another grantor.
+  [[nodiscard]] std::optional<LeaseGrant> OnRequest(const LeaseRequest& request, TimePoint now);
+
+  /// Members in use (n) and those heard within a lease term (k).
+  [[nodiscard]] std::size_t KnownMembers() const noexcept { return m_members.size(); }
+  [[nodiscard]] std::size_t HeardMembers(TimePoint now) const;
+
+  [[nodiscard]] std::uint64_t Epoch() const noexcept { return m_epoch; }
+
+ private:
+  using TokenKey = std::pair<TargetId, std::uint16_t>;
+
+  struct Holder {
+    Incarnation m_incarnation;
+    std::uint64_t m_sequence = 0;
+    std::uint32_t m_binding = 0;
+    /// When the holder's first request of this binding arrived.
+    TimePoint m_bound_since;
+    /// The latest time at which the holder is known to have followed this grantor.
+    std::optional<TimePoint> m_vouched;
+    std::uint32_t m_members_digest = 0;
+    std::vector<HostId> m_missing;
+    std::map<ServiceId, std::uint32_t> m_waiting;
+    std::set<TokenKey> m_tokens;
+  };
+  struct Token {
+    std::optional<HostId> m_owner;
+    HostId m_home;
+    bool m_in_use = false;
+    std::uint64_t m_granted_sequence = 0;
+    /// When the token was last granted or reported as held.
+    TimePoint m_last_claim;
+    TimePoint m_blocked_until;
+  };
+  struct Target {
+    ServiceId m_service;
+    Incarnation m_incarnation;
+    std::uint32_t m_allowance = 0;
+    std::vector<Token> m_tokens;
+  };
+  struct Use {
+    std::uint32_t m_owned = 0;
+    std::uint32_t m_in_use = 0;
+    std::uint32_t m_entitled = 0;
+  };
+  /// How the tokens of one service are to be divided.
+  struct Division {
+    TimePoint m_computed;
+    std::map<HostId, Use> m_uses;
+    std::uint32_t m_free = 0;
+    std::uint32_t m_short = 0;
+    std::vector<TargetId> m_targets;
+  };
+
+  [[nodiscard]] bool IsMember(HostId host) const;
+  [[nodiscard]] bool TakesTokens(HostId host) const;
+  [[nodiscard]] bool IsHeard(HostId host, TimePoint now) const;
+  [[nodiscard]] bool HasMajority(TimePoint now) const;
+  [[nodiscard]] bool AllReported(TimePoint now) const;
+  [[nodiscard]] bool IsMissedByMajority(HostId host, TimePoint now) const;
+  [[nodiscard]] bool IsSettled(HostId home, TimePoint now) const;
+  [[nodiscard]] bool IsFree(const Token& token, TimePoint now) const;
+  /// Tokens with a number below this may be granted or renewed. Tokens above the allowance that are still held after it
+  /// fell count against it.
+  [[nodiscard]] static std::uint32_t Usable(const Target& target) noexcept;
+  void CheckMembers(TimePoint now);
+
+  bool TakeIdentity(const LeaseRequest& request, TimePoint now);
+  void TakeVouch(const LeaseRequest& request, Holder* holder, TimePoint now);
+  void TakeClaims(const LeaseRequest& request, Holder* holder, TimePoint now);
+  void TakeClaim(HostId host, TargetId target, const TokenUse& use, Holder* holder, TimePoint now);
+  void ReleaseAll(HostId host, TimePoint blocked_until);
+  void UpdateMembers(TimePoint now);
+  [[nodiscard]] bool IsGone(const LeaseMember& member, TimePoint now) const;
+  void AssignHomes();
+  void Grow(TargetId id, Target* target, std::size_t tokens);
+  [[nodiscard]] HostId HomeOf(TargetId target, std::size_t token) const;
+
+  Division& DivisionOf(ServiceId service, TimePoint now);
+  void CountTokens(ServiceId service, Division* division, TimePoint now);
+  void Divide(ServiceId service, Division* division, TimePoint now);
+  [[nodiscard]] LeaseGrant Decide(const LeaseRequest& request, TimePoint now);
+  void Renew(const LeaseRequest& request, Holder* holder, std::map<TargetId, TokenGrant>* grants, TimePoint now);
+  void GrantNew(const LeaseRequest& request, Holder* holder, Division* division, std::map<TargetId, TokenGrant>* grants,
+                TimePoint now);
+  [[nodiscard]] std::optional<TokenKey> PickFree(const Division& division, const std::map<TargetId, TokenGrant>& grants,
+                                                 TimePoint now);
+  void Add(TokenKey key, const LeaseRequest& request, std::map<TargetId, TokenGrant>* grants, TimePoint now);
+
+  HostId m_host;
+  std::uint64_t m_epoch;
+  std::vector<LeaseMember> m_members;
+  std::vector<LeaseMember> m_wanted_members;
+  std::uint32_t m_members_digest;
+  Random m_random;
+  TimePoint m_started;
+  TimePoint m_checked_at;
+  std::optional<TimePoint> m_majority_at;
+  std::optional<TimePoint> m_all_reported_at;
+  std::map<HostId, TimePoint> m_member_since;
+  std::map<HostId, Holder> m_holders;
+  std::map<TargetId, Target> m_targets;
+  std::map<ServiceId, std::set<TargetId>> m_services;
+  std::map<ServiceId, Division> m_divisions;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_ALLOWANCE_GRANTOR_H_
--- /dev/null
+++ b/include/fighatch/allowance_holder.h
@@ -0,0 +1,104 @@
+#ifndef FIGHATCH_ALLOWANCE_HOLDER_H_
+#define FIGHATCH_ALLOWANCE_HOLDER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "fighatch/lease_message.h"
+#include "fighatch/lease_times.h"
+#include "fighatch/target_allowance.h"
+
+namespace fighatch {
+
+/// The tokens that a balancer holds. It pays attention to its own clock only and follows one coordinator at a time.
+///
+/// \code
+/// holder.Follow(coordinator_host, now);
+/// if (auto request = holder.Poll(now)) Send(holder.Grantor(), *request);  // every 50 ms and after ReportDemand
+/// holder.OnGrant(grant, now);
+/// if (holder.Take(target, now)) Dispatch();
+/// \endcode
+class AllowanceHolder : public TargetAllowance {
+ public:
+  AllowanceHolder(HostId host, Incarnation incarnation) : m_host(host), m_incarnation(incarnation) {}
+
+  [[nodiscard]] std::uint32_t Available(TargetId target, TimePoint now) const override;
+  [[nodiscard]] bool Take(TargetId target, TimePoint now) override;
+  void Return(TargetId target, TimePoint now) override;
+  void ReportDemand(ServiceId service, std::uint32_t waiting, TimePoint now) override;
+
+  /// A request ended after this time at the target; `shed` if the target refused it.
+  void OnOutcome(TargetId target, Duration latency, bool shed);
+
+  /// The target is known to run as this incarnation; tokens that were granted for another one are not used.
+  void OnTargetIncarnation(TargetId target, Incarnation incarnation);
+
+  /// Names the coordinator to ask, as the member list has it.
+  void Follow(HostId grantor, TimePoint now);
+
+  /// Tells the coordinator which members this host knows and which of them it does not hear.
+  void SetMembers(std::uint32_t digest, std::vector<HostId> missing);
+
+  /// The request that is due, if one is.
+  [[nodiscard]] std::optional<LeaseRequest> Poll(TimePoint now);
+
+  /// Applies a grant; one that does not answer a recent request of the present binding changes nothing.
+  void OnGrant(const LeaseGrant& grant, TimePoint now);
+
+  [[nodiscard]] HostId Grantor() const noexcept { return m_grantor; }
+
+ private:
+  struct Token {
+    std::uint16_t m_number = 0;
+    Incarnation m_target_incarnation;
+    /// When the request was sent whose grant renewed the token last.
+    TimePoint m_asked;
+    bool m_in_use = false;
+    bool m_revoked = false;
+  };
+  struct Held {
+    std::vector<Token> m_tokens;
+    std::optional<Incarnation> m_incarnation;
+    std::uint32_t m_sheds = 0;
+    std::uint32_t m_ended = 0;
+    Duration m_latency_sum{};
+  };
+  struct Asked {
+    std::uint64_t m_sequence = 0;
+    TimePoint m_at;
+  };
+
+  [[nodiscard]] static bool IsUsable(const Held& held, const Token& token, TimePoint now) noexcept;
+  [[nodiscard]] std::optional<TimePoint> AskedAt(std::uint64_t sequence) const;
+  [[nodiscard]] bool IsDue(TimePoint now) const;
+  void Bind(HostId grantor, std::uint64_t epoch);
+  void ApplyDecision(const LeaseGrant& grant, TimePoint asked);
+  void ApplyTokens(const TokenGrant& grant, TimePoint asked);
+  void DropExpired(TimePoint now);
+  void ReportUses(LeaseRequest* request);
+
+  HostId m_host;
+  Incarnation m_incarnation;
+  HostId m_grantor;
+  std::uint64_t m_epoch = 0;
+  std::uint32_t m_binding = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_applied = 0;
+  std::uint64_t m_echo_ms = 0;
+  std::uint32_t m_members_digest = 0;
+  std::vector<HostId> m_missing;
+  std::map<TargetId, Held> m_held;
+  std::map<ServiceId, std::uint32_t> m_waiting;
+  std::array<Asked, 8> m_asked{};
+  TimePoint m_last_poll;
+  bool m_polled = false;
+  bool m_hurry = false;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_ALLOWANCE_HOLDER_H_
--- /dev/null
+++ b/include/fighatch/compact_archive.h
@@ -0,0 +1,60 @@
+#ifndef FIGHATCH_COMPACT_ARCHIVE_H_
+#define FIGHATCH_COMPACT_ARCHIVE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <vector>
+
+namespace fighatch {
+
+/// Serialises a number in groups of 7 bits, so that small numbers take one byte. Throws `std::length_error` if the
+/// decoded number does not fit in `T`.
+template <typename Archive, typename T>
+void SerializeCompact(Archive& archive, T& value) {
+  std::uint8_t byte = 0;
+  if constexpr (Archive::is_saving::value) {
+    auto rest = static_cast<std::uint64_t>(value);
+    for (; rest >= 0x80U; rest >>= 7U) {
+      byte = static_cast<std::uint8_t>(rest | 0x80U);
+      archive(byte);
+    }
+    byte = static_cast<std::uint8_t>(rest);
+    archive(byte);
+  } else {
+    std::uint64_t result = 0;
+    for (unsigned shift = 0;; shift += 7U) {
+      archive(byte);
+      const std::uint64_t bits = byte & 0x7FU;
+      if (shift > 63U || (shift == 63U && bits > 1U)) throw std::length_error("number is too long");
+      result |= bits << shift;
+      if (byte < 0x80U) break;
+    }
+    value = static_cast<T>(result);
+    if (static_cast<std::uint64_t>(value) != result) throw std::length_error("number is out of range");
+  }
+}
+
+/// Serialises a list with its size in compact form. Throws `std::length_error` if it has more than `limit` items.
+template <typename Archive, typename T, typename SerializeItem>
+void SerializeList(Archive& archive, std::vector<T>& list, std::size_t limit, SerializeItem&& serialize_item) {
+  std::size_t size = list.size();
+  SerializeCompact(archive, size);
+  if (size > limit) throw std::length_error("list is too long");
+  if constexpr (Archive::is_saving::value) {
+    for (T& item : list) serialize_item(archive, item);
+  } else {
+    list.clear();
+    for (std::size_t index = 0; index < size; ++index) serialize_item(archive, list.emplace_back());
+  }
+}
+
+/// \copydoc SerializeList
+template <typename Archive, typename T>
+void SerializeList(Archive& archive, std::vector<T>& list, std::size_t limit) {
+  SerializeList(archive, list, limit, [](Archive& items, T& item) { items(item); });
+}
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_COMPACT_ARCHIVE_H_
--- /dev/null
+++ b/include/fighatch/lease_message.h
@@ -0,0 +1,159 @@
+#ifndef FIGHATCH_LEASE_MESSAGE_H_
+#define FIGHATCH_LEASE_MESSAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "fighatch/compact_archive.h"
+#include "fighatch/ids.h"
+
+namespace fighatch {
+
+/// Upper limits that decoders enforce.
+inline constexpr std::size_t kMaxLeaseTargets = 4096;
+inline constexpr std::size_t kMaxTokensPerTarget = 4096;
+inline constexpr std::size_t kMaxLeaseMembers = 4096;
+
+/// A token of a target by its number, with the holder's word whether a request is using it.
+struct TokenUse {
+  std::uint16_t m_token = 0;
+  bool m_in_use = false;
+
+  friend bool operator==(const TokenUse&, const TokenUse&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    std::uint32_t packed = std::uint32_t{m_token} * 2U + (m_in_use ? 1U : 0U);
+    SerializeCompact(archive, packed);
+    m_token = static_cast<std::uint16_t>(packed / 2U);
+    m_in_use = packed % 2U == 1U;
+  }
+};
+
+/// What a holder says of one target.
+struct TargetUse {
+  TargetId m_target;
+  /// Tokens that it holds, also those whose lease has run out and that no other holder can have been given yet.
+  std::vector<TokenUse> m_tokens;
+  std::uint32_t m_sheds = 0;
+  /// Requests that have ended since the last report, and their mean latency.
+  std::uint32_t m_ended = 0;
+  std::uint32_t m_latency_us = 0;
+
+  friend bool operator==(const TargetUse&, const TargetUse&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_target);
+    SerializeList(archive, m_tokens, kMaxTokensPerTarget);
+    SerializeCompact(archive, m_sheds);
+    SerializeCompact(archive, m_ended);
+    SerializeCompact(archive, m_latency_us);
+  }
+};
+
+/// Requests of a service that wait for a token on the holder.
+struct ServiceDemand {
+  ServiceId m_service;
+  std::uint32_t m_waiting = 0;
+
+  friend bool operator==(const ServiceDemand&, const ServiceDemand&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    SerializeCompact(archive, m_service.m_value);
+    SerializeCompact(archive, m_waiting);
+  }
+};
+
+/// Asks a coordinator for tokens, reports use and vouches that the holder follows this coordinator alone.
+struct LeaseRequest {
+  HostId m_holder;
+  /// Start of the holder's process.
+  Incarnation m_incarnation;
+  HostId m_grantor;
+  /// The grantor's epoch as the holder knows it; 0 if it does not.
+  std::uint64_t m_epoch = 0;
+  /// Counts the holder's changes of grantor.
+  std::uint32_t m_binding = 0;
+  std::uint64_t m_sequence = 0;
+  /// Sequence number of the request whose grant was applied last; 0 if none was.
+  std::uint64_t m_applied = 0;
+  /// The grantor's time in that grant.
+  std::uint64_t m_echo_ms = 0;
+  /// Digest of the members that the holder knows.
+  std::uint32_t m_members_digest = 0;
+  /// Members that the holder has not heard.
+  std::vector<HostId> m_missing;
+  std::vector<TargetUse> m_uses;
+  std::vector<ServiceDemand> m_demands;
+
+  friend bool operator==(const LeaseRequest&, const LeaseRequest&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    SerializeCompact(archive, m_holder.m_value);
+    SerializeCompact(archive, m_incarnation.m_value);
+    SerializeCompact(archive, m_grantor.m_value);
+    SerializeCompact(archive, m_epoch);
+    SerializeCompact(archive, m_binding);
+    SerializeCompact(archive, m_sequence);
+    SerializeCompact(archive, m_applied);
+    SerializeCompact(archive, m_echo_ms);
+    archive(m_members_digest);
+    SerializeList(archive, m_missing, kMaxLeaseMembers);
+    SerializeList(archive, m_uses, kMaxLeaseTargets);
+    SerializeList(archive, m_demands, kMaxLeaseTargets);
+  }
+};
+
+/// The tokens of one target that a holder may use.
+struct TokenGrant {
+  TargetId m_target;
+  Incarnation m_incarnation;
+  std::vector<std::uint16_t> m_tokens;
+
+  friend bool operator==(const TokenGrant&, const TokenGrant&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_target);
+    SerializeCompact(archive, m_incarnation.m_value);
+    SerializeList(archive, m_tokens, kMaxTokensPerTarget,
+                  [](Archive& items, std::uint16_t& token) { SerializeCompact(items, token); });
+  }
+};
+
+/// The answer to a lease request: the whole set of tokens that the holder may use for one term, counted from when it
+/// asked.
+struct LeaseGrant {
+  HostId m_grantor;
+  std::uint64_t m_epoch = 0;
+  HostId m_holder;
+  Incarnation m_incarnation;
+  /// Sequence number of the request that is answered.
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_time_ms = 0;
+  /// False if the grantor cannot decide yet: the holder keeps its tokens and their leases are not extended.
+  bool m_decided = false;
+  std::vector<TokenGrant> m_grants;
+
+  friend bool operator==(const LeaseGrant&, const LeaseGrant&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    SerializeCompact(archive, m_grantor.m_value);
+    SerializeCompact(archive, m_epoch);
+    SerializeCompact(archive, m_holder.m_value);
+    SerializeCompact(archive, m_incarnation.m_value);
+    SerializeCompact(archive, m_sequence);
+    SerializeCompact(archive, m_time_ms);
+    archive(m_decided);
+    SerializeList(archive, m_grants, kMaxLeaseTargets);
+  }
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_LEASE_MESSAGE_H_
--- /dev/null
+++ b/src/target/allowance_grantor.cc
@@ -0,0 +1,287 @@
+#include "fighatch/allowance_grantor.h"
+
+#include <algorithm>
+
+#include "fighatch/hash.h"
+
+namespace fighatch {
+namespace {
+
+/// Majority and membership are worked out at most this often.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
+
+std::uint64_t Milliseconds(TimePoint time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
+TimePoint FromMilliseconds(std::uint64_t time) {
+  return TimePoint(std::chrono::milliseconds(static_cast<std::int64_t>(time)));
+}
+
+void SortByHost(std::vector<LeaseMember>* members) {
+  std::sort(members->begin(), members->end(),
+            [](const LeaseMember& left, const LeaseMember& right) { return left.m_host < right.m_host; });
+}
+
+const LeaseMember* FindMember(const std::vector<LeaseMember>& members, HostId host) {
+  const auto found = std::lower_bound(members.begin(), members.end(), host,
+                                      [](const LeaseMember& member, HostId wanted) { return member.m_host < wanted; });
+  return found != members.end() && found->m_host == host ? &*found : nullptr;
+}
+
+}  // namespace
+
+AllowanceGrantor::AllowanceGrantor(HostId host, std::uint64_t epoch, std::vector<LeaseMember> members,
+                                   std::uint32_t members_digest, std::uint64_t seed, TimePoint now)
+    : m_host(host),
+      m_epoch(epoch),
+      m_members(std::move(members)),
+      m_members_digest(members_digest),
+      m_random(seed),
+      m_started(now),
+      m_checked_at(now - kCheckInterval) {
+  SortByHost(&m_members);
+  m_wanted_members = m_members;
+  for (const LeaseMember& member : m_members) m_member_since[member.m_host] = now;
+}
+
+void AllowanceGrantor::SetMembers(std::vector<LeaseMember> members, std::uint32_t members_digest, TimePoint now) {
+  m_wanted_members = std::move(members);
+  m_members_digest = members_digest;
+  SortByHost(&m_wanted_members);
+  UpdateMembers(now);
+}
+
+void AllowanceGrantor::SetAllowance(const TargetInfo& target, std::uint32_t allowance) {
+  Target& known = m_targets[target.m_id];
+  known.m_service = target.m_service;
+  m_services[target.m_service].insert(target.m_id);
+  known.m_incarnation = target.m_incarnation;
+  known.m_allowance = std::min<std::uint32_t>(allowance, kMaxTokensPerTarget);
+  Grow(target.m_id, &known, known.m_allowance);
+}
+
+void AllowanceGrantor::Forget(TargetId target) {
+  const auto known = m_targets.find(target);
+  if (known == m_targets.end()) return;
+  for (auto& [host, holder] : m_holders)
+    std::erase_if(holder.m_tokens, [target](const TokenKey& key) { return key.first == target; });
+  m_services[known->second.m_service].erase(target);
+  m_divisions.erase(known->second.m_service);
+  m_targets.erase(known);
+}
+
+std::uint32_t AllowanceGrantor::Usable(const Target& target) noexcept {
+  if (target.m_tokens.size() <= target.m_allowance) return target.m_allowance;
+  const auto excess = std::count_if(target.m_tokens.begin() + target.m_allowance, target.m_tokens.end(),
+                                    [](const Token& token) { return token.m_owner.has_value(); });
+  return target.m_allowance - std::min(target.m_allowance, static_cast<std::uint32_t>(excess));
+}
+
+void AllowanceGrantor::Grow(TargetId id, Target* target, std::size_t tokens) {
+  while (target->m_tokens.size() < tokens) {
+    Token& token = target->m_tokens.emplace_back();
+    token.m_home = HomeOf(id, target->m_tokens.size() - 1);
+  }
+}
+
+HostId AllowanceGrantor::HomeOf(TargetId target, std::size_t token) const {
+  HostId home;
+  std::uint64_t best = 0;
+  const std::uint64_t key = MixHash(target.m_value, token);
+  for (const LeaseMember& member : m_members) {
+    const std::uint64_t score = MixHash(key, member.m_host.m_value);
+    if (score < best) continue;
+    best = score;
+    home = member.m_host;
+  }
+  return home;
+}
+
+void AllowanceGrantor::AssignHomes() {
+  for (auto& [id, target] : m_targets) {
+    for (std::size_t index = 0; index < target.m_tokens.size(); ++index)
+      target.m_tokens[index].m_home = HomeOf(id, index);
+  }
+}
+
+bool AllowanceGrantor::IsMember(HostId host) const { return FindMember(m_members, host) != nullptr; }
+
+bool AllowanceGrantor::TakesTokens(HostId host) const {
+  const LeaseMember* member = FindMember(m_members, host);
+  return member != nullptr && member->m_takes_tokens;
+}
+
+bool AllowanceGrantor::IsHeard(HostId host, TimePoint now) const {
+  const auto holder = m_holders.find(host);
+  return holder != m_holders.end() && holder->second.m_vouched && now - *holder->second.m_vouched < kLeaseTerm;
+}
+
+std::size_t AllowanceGrantor::HeardMembers(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_members.begin(), m_members.end(), [&](const LeaseMember& member) { return IsHeard(member.m_host, now); }));
+}
+
+bool AllowanceGrantor::HasMajority(TimePoint now) const { return HeardMembers(now) * 2 > m_members.size(); }
+
+bool AllowanceGrantor::AllReported(TimePoint now) const {
+  if (now - m_started < WithDrift(kLeaseTerm)) return false;
+  return std::all_of(m_members.begin(), m_members.end(), [&](const LeaseMember& member) {
+    return IsHeard(member.m_host, now) && m_holders.at(member.m_host).m_members_digest == m_members_digest;
+  });
+}
+
+bool AllowanceGrantor::IsMissedByMajority(HostId host, TimePoint now) const {
+  const auto missing = std::count_if(m_members.begin(), m_members.end(), [&](const LeaseMember& member) {
+    if (!IsHeard(member.m_host, now)) return false;
+    const std::vector<HostId>& hosts = m_holders.at(member.m_host).m_missing;
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+  });
+  return static_cast<std::size_t>(missing) * 2 > m_members.size();
+}
+
+bool AllowanceGrantor::IsGone(const LeaseMember& member, TimePoint now) const {
+  const LeaseMember* wanted = FindMember(m_wanted_members, member.m_host);
+  if (wanted != nullptr && wanted->m_left) return true;
+  if (IsHeard(member.m_host, now)) return false;
+  TimePoint last = m_member_since.at(member.m_host);
+  const auto holder = m_holders.find(member.m_host);
+  if (holder != m_holders.end() && holder->second.m_vouched) last = std::max(last, *holder->second.m_vouched);
+  return now - last >= kMemberGoneAfter && IsMissedByMajority(member.m_host, now);
+}
+
+void AllowanceGrantor::UpdateMembers(TimePoint now) {
+  if (!HasMajority(now)) return;
+  std::vector<LeaseMember> members;
+  for (const LeaseMember& member : m_members) {
+    if (!IsGone(member, now)) members.push_back(member);
+  }
+  for (const LeaseMember& member : m_wanted_members) {
+    if (!member.m_left && !IsMember(member.m_host) && IsHeard(member.m_host, now)) {
+      m_member_since[member.m_host] = now;
+      members.push_back(member);
+    }
+  }
+  SortByHost(&members);
+  if (members == m_members || members.empty()) return;
+  m_members = std::move(members);
+  AssignHomes();
+}
+
+std::optional<LeaseGrant> AllowanceGrantor::OnRequest(const LeaseRequest& request, TimePoint now) {
+  if (request.m_grantor != m_host || request.m_epoch > m_epoch) return std::nullopt;
+  LeaseGrant grant;
+  grant.m_grantor = m_host;
+  grant.m_epoch = m_epoch;
+  grant.m_holder = request.m_holder;
+  grant.m_incarnation = request.m_incarnation;
+  grant.m_sequence = request.m_sequence;
+  grant.m_time_ms = Milliseconds(now);
+  if (request.m_epoch < m_epoch) return grant;
+  if (!TakeIdentity(request, now)) return std::nullopt;
+  Holder& holder = m_holders[request.m_holder];
+  TakeVouch(request, &holder, now);
+  TakeClaims(request, &holder, now);
+  CheckMembers(now);
+  const bool minority = !m_majority_at || now - *m_majority_at >= kMinorityStopsAfter;
+  if (minority || !TakesTokens(request.m_holder) || !IsHeard(request.m_holder, now)) return grant;
+  grant.m_grants = Decide(request, now).m_grants;
+  grant.m_decided = true;
+  return grant;
+}
+
+void AllowanceGrantor::CheckMembers(TimePoint now) {
+  if (now - m_checked_at < kCheckInterval) return;
+  m_checked_at = now;
+  UpdateMembers(now);
+  if (HasMajority(now)) m_majority_at = now;
+  if (AllReported(now)) m_all_reported_at = now;
+}
+
+bool AllowanceGrantor::TakeIdentity(const LeaseRequest& request, TimePoint now) {
+  Holder& holder = m_holders[request.m_holder];
+  if (request.m_incarnation < holder.m_incarnation) return false;
+  if (request.m_incarnation > holder.m_incarnation) {
+    ReleaseAll(request.m_holder, now + WithDrift(kLeaseTerm));
+    holder = Holder();
+    holder.m_incarnation = request.m_incarnation;
+  }
+  if (request.m_sequence <= holder.m_sequence) return false;
+  holder.m_sequence = request.m_sequence;
+  return true;
+}
+
+void AllowanceGrantor::TakeVouch(const LeaseRequest& request, Holder* holder, TimePoint now) {
+  if (request.m_binding != holder->m_binding) {
+    holder->m_binding = request.m_binding;
+    holder->m_bound_since = now;
+    holder->m_vouched.reset();
+  }
+  // The request may be late. The holder followed this grantor when it applied the grant whose time it repeats.
+  const TimePoint echo = FromMilliseconds(request.m_echo_ms);
+  if (request.m_applied > 0 && echo <= now && (!holder->m_vouched || echo > *holder->m_vouched))
+    holder->m_vouched = echo;
+  holder->m_members_digest = request.m_members_digest;
+  holder->m_missing = request.m_missing;
+  holder->m_waiting.clear();
+  for (const ServiceDemand& demand : request.m_demands) holder->m_waiting[demand.m_service] = demand.m_waiting;
+}
+
+void AllowanceGrantor::TakeClaims(const LeaseRequest& request, Holder* holder, TimePoint now) {
+  std::set<TokenKey> reported;
+  for (const TargetUse& use : request.m_uses) {
+    for (const TokenUse& token : use.m_tokens) {
+      if (token.m_token >= kMaxTokensPerTarget) continue;
+      reported.insert({use.m_target, token.m_token});
+      TakeClaim(request.m_holder, use.m_target, token, holder, now);
+    }
+  }
+  std::erase_if(holder->m_tokens, [&](const TokenKey& key) {
+    Token& token = m_targets.at(key.first).m_tokens[key.second];
+    // A grant that the holder has not applied yet may still arrive.
+    if (reported.contains(key) || token.m_granted_sequence > request.m_applied) return false;
+    token.m_owner.reset();
+    token.m_in_use = false;
+    return true;
+  });
+}
+
+void AllowanceGrantor::TakeClaim(HostId host, TargetId target, const TokenUse& use, Holder* holder, TimePoint now) {
+  Target& known = m_targets[target];
+  Grow(target, &known, std::size_t{use.m_token} + 1);
+  Token& token = known.m_tokens[use.m_token];
+  if (token.m_owner && *token.m_owner != host) return;
+  if (!token.m_owner) {
+    token.m_owner = host;
+    token.m_granted_sequence = 0;
+    holder->m_tokens.insert({target, use.m_token});
+  }
+  token.m_in_use = use.m_in_use;
+  token.m_last_claim = now;
+}
+
+void AllowanceGrantor::ReleaseAll(HostId host, TimePoint blocked_until) {
+  for (const TokenKey& key : m_holders[host].m_tokens) {
+    Token& token = m_targets.at(key.first).m_tokens[key.second];
+    token.m_owner.reset();
+    token.m_in_use = false;
+    token.m_blocked_until = blocked_until;
+  }
+  m_holders[host].m_tokens.clear();
+}
+
+bool AllowanceGrantor::IsSettled(HostId home, TimePoint now) const {
+  const auto holder = m_holders.find(home);
+  if (holder == m_holders.end()) return false;
+  const TimePoint since = holder->second.m_bound_since;
+  return now - since >= kUnknownUseEnds || (m_all_reported_at && *m_all_reported_at >= since);
+}
+
+bool AllowanceGrantor::IsFree(const Token& token, TimePoint now) const {
+  if (token.m_owner && now - token.m_last_claim < kUnknownUseEnds) return false;
+  return now >= token.m_blocked_until && now - m_started >= WithDrift(kLeaseTerm) && IsHeard(token.m_home, now) &&
+         IsSettled(token.m_home, now);
+}
+
+}  // namespace fighatch
