Add sealed messages, key ring, replay window and message socket

The token is learned from a sealed challenge, which needs neither a disk nor clocks that agree.

Conclusion: messages cost one more round trip on first contact and after a restart.

--- /dev/null
+++ b/include/fighatch/replay_window.h
@@ -0,0 +1,64 @@
+#ifndef FIGHATCH_REPLAY_WINDOW_H_
+#define FIGHATCH_REPLAY_WINDOW_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+#include "fighatch/ids.h"
+#include "fighatch/result.h"
+
+namespace fighatch {
+
+/// Remembers which sequence numbers arrived from each sender, so that none is accepted twice.
+///
+/// The number of senders is bounded. A new sender beyond the bound replaces the one that was silent longest; the caller
+/// must then refuse everything that was sealed earlier (see `SecureChannel`), because the replaced sender's window is
+/// lost.
+class ReplayWindow {
+ public:
+  /// Sequence numbers that are remembered behind the highest one of a sender.
+  static constexpr std::size_t kWindowSize = 1024;
+  /// Above the planned 14,000 daemons, so that replacement hits senders that are gone; about 6 MB when full.
+  static constexpr std::size_t kDefaultSenders = 32768;
+
+  explicit ReplayWindow(std::size_t senders = kDefaultSenders) : m_limit(senders) {}
+
+  /// Marks the number as seen. Errors: `kMessageReplayed` if it was seen, is behind the window, or belongs to an older
+  /// incarnation of the sender.
+  [[nodiscard]] Status Accept(HostId sender, Incarnation incarnation, std::uint64_t sequence);
+
+  /// The highest incarnation seen of the sender; 0 if none.
+  [[nodiscard]] Incarnation HighestIncarnation(HostId sender) const noexcept;
+
+  /// Counts senders that were replaced; a change means that a window was lost.
+  [[nodiscard]] std::uint64_t Evictions() const noexcept { return m_evictions; }
+  [[nodiscard]] std::size_t Senders() const noexcept { return m_windows.size(); }
+
+ private:
+  struct Window {
+    Incarnation m_incarnation;
+    std::uint64_t m_highest = 0;
+    std::array<std::uint64_t, kWindowSize / 64> m_seen{};
+    std::list<HostId>::iterator m_use;
+
+    [[nodiscard]] bool Test(std::uint64_t sequence) const noexcept;
+    void Set(std::uint64_t sequence) noexcept;
+    void Clear(std::uint64_t sequence) noexcept;
+    void AdvanceTo(std::uint64_t sequence) noexcept;
+  };
+
+  Window& Insert(HostId sender, Incarnation incarnation);
+
+  std::size_t m_limit;
+  std::uint64_t m_evictions = 0;
+  /// Least recently used first.
+  std::list<HostId> m_uses;
+  std::unordered_map<HostId, Window> m_windows;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_REPLAY_WINDOW_H_
--- /dev/null
+++ b/src/wire/replay_window.cc
@@ -0,0 +1,67 @@
+#include "fighatch/replay_window.h"
+
+namespace fighatch {
+namespace {
+
+constexpr std::uint64_t Bit(std::uint64_t sequence) noexcept { return std::uint64_t{1} << (sequence % 64); }
+constexpr std::size_t Word(std::uint64_t sequence) noexcept {
+  return static_cast<std::size_t>(sequence % ReplayWindow::kWindowSize / 64);
+}
+
+}  // namespace
+
+bool ReplayWindow::Window::Test(std::uint64_t sequence) const noexcept {
+  return (m_seen[Word(sequence)] & Bit(sequence)) != 0;
+}
+
+void ReplayWindow::Window::Set(std::uint64_t sequence) noexcept { m_seen[Word(sequence)] |= Bit(sequence); }
+
+void ReplayWindow::Window::Clear(std::uint64_t sequence) noexcept { m_seen[Word(sequence)] &= ~Bit(sequence); }
+
+void ReplayWindow::Window::AdvanceTo(std::uint64_t sequence) noexcept {
+  if (sequence - m_highest >= kWindowSize) {
+    m_seen.fill(0);
+  } else {
+    for (std::uint64_t passed = m_highest + 1; passed <= sequence; ++passed) Clear(passed);
+  }
+  m_highest = sequence;
+}
+
+ReplayWindow::Window& ReplayWindow::Insert(HostId sender, Incarnation incarnation) {
+  if (m_windows.size() >= m_limit && !m_uses.empty()) {
+    m_windows.erase(m_uses.front());
+    m_uses.pop_front();
+    ++m_evictions;
+  }
+  Window& window = m_windows[sender];
+  window.m_incarnation = incarnation;
+  window.m_use = m_uses.insert(m_uses.end(), sender);
+  return window;
+}
+
+Status ReplayWindow::Accept(HostId sender, Incarnation incarnation, std::uint64_t sequence) {
+  const auto found = m_windows.find(sender);
+  Window& window = found != m_windows.end() ? found->second : Insert(sender, incarnation);
+  if (incarnation < window.m_incarnation) return MakeError(ErrorCode::kMessageReplayed, "older incarnation");
+  if (incarnation > window.m_incarnation) {
+    window.m_incarnation = incarnation;
+    window.m_highest = 0;
+    window.m_seen.fill(0);
+  }
+  if (sequence + kWindowSize <= window.m_highest) return MakeError(ErrorCode::kMessageReplayed, "behind the window");
+  if (sequence > window.m_highest) {
+    window.AdvanceTo(sequence);
+  } else if (window.Test(sequence)) {
+    return MakeError(ErrorCode::kMessageReplayed, "sequence number seen");
+  }
+  window.Set(sequence);
+  m_uses.splice(m_uses.end(), m_uses, window.m_use);
+  return OkStatus();
+}
+
+Incarnation ReplayWindow::HighestIncarnation(HostId sender) const noexcept {
+  const auto found = m_windows.find(sender);
+  return found != m_windows.end() ? found->second.m_incarnation : Incarnation{};
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/wire/secure_channel.cc
@@ -0,0 +1,135 @@
+#include "fighatch/secure_channel.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace fighatch {
+namespace {
+
+/// Messages kept for sealing again after a challenge; a challenge arrives within one round trip.
+constexpr std::size_t kKeptMessages = 64;
+
+struct ChallengePayload {
+  /// The sequence number of the refused message.
+  std::uint64_t m_sequence = 0;
+  /// The highest incarnation that the challenger knows of the sender.
+  Incarnation m_known_incarnation;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_sequence, m_known_incarnation);
+  }
+};
+
+// 0 on the wire means that no token is known.
+std::uint64_t NonZero(std::uint64_t token) noexcept { return token != 0 ? token : 1; }
+
+}  // namespace
+
+SecureChannel::SecureChannel(const SecureChannelSettings& settings, KeyRing keys)
+    : m_self(settings.m_self),
+      m_incarnation(settings.m_incarnation),
+      m_token(NonZero(settings.m_token)),
+      m_limit(settings.m_senders),
+      m_sealer(std::move(keys)),
+      m_window(settings.m_senders) {}
+
+Result<std::vector<std::byte>> SecureChannel::SealWithToken(HostId receiver, std::uint64_t token, MessageType type,
+                                                            std::span<const std::byte> payload,
+                                                            std::size_t limit_bytes) {
+  EnvelopeHeader header;
+  header.m_type = type;
+  header.m_sender = m_self;
+  header.m_receiver = receiver;
+  header.m_incarnation = m_incarnation;
+  header.m_sequence = ++m_sequence;
+  header.m_sender_token = m_token;
+  header.m_receiver_token = token;
+  return m_sealer.Seal(header, payload, limit_bytes);
+}
+
+Result<std::vector<std::byte>> SecureChannel::Seal(HostId receiver, MessageType type,
+                                                   std::span<const std::byte> payload, std::size_t limit_bytes) {
+  const auto known = m_peer_tokens.find(receiver);
+  const std::uint64_t token = known != m_peer_tokens.end() ? known->second : 0;
+  auto sealed = SealWithToken(receiver, token, type, payload, limit_bytes);
+  if (IsOk(sealed)) Remember(m_sequence, type, payload);
+  return sealed;
+}
+
+void SecureChannel::Remember(std::uint64_t sequence, MessageType type, std::span<const std::byte> payload) {
+  if (payload.size() > kMaxUdpPayloadBytes) return;
+  if (m_sent.size() >= kKeptMessages) m_sent.pop_front();
+  m_sent.push_back({sequence, type, {payload.begin(), payload.end()}});
+}
+
+Status SecureChannel::CheckFresh(const EnvelopeHeader& header) {
+  if (header.m_receiver_token != m_token) return MakeError(ErrorCode::kMessageReplayed, "token of another start");
+  if (header.m_receiver != m_self) return MakeError(ErrorCode::kMessageReplayed, "another receiver");
+  const std::uint64_t evictions = m_window.Evictions();
+  Status accepted = m_window.Accept(header.m_sender, header.m_incarnation, header.m_sequence);
+  // The replaced sender's window is lost, so what was sealed for the present token must not be accepted again.
+  if (m_window.Evictions() != evictions) m_token = NonZero(m_token + 1);
+  return accepted;
+}
+
+OpenedMessage SecureChannel::Open(std::span<const std::byte> message, std::size_t limit_bytes) {
+  OpenedMessage opened;
+  Result<Envelope> envelope = m_sealer.Open(message, limit_bytes);
+  if (!IsOk(envelope)) {
+    opened.m_error = ErrorOf(envelope);
+    return opened;
+  }
+  const EnvelopeHeader& header = ValueOf(envelope).m_header;
+  const bool is_challenge = header.m_type == MessageType::kSessionChallenge;
+  const bool has_old_token = header.m_receiver_token != m_token;
+  if (Status fresh = CheckFresh(header); !IsOk(fresh)) {
+    opened.m_error = ErrorOf(fresh);
+    const bool is_old_start = header.m_incarnation < m_window.HighestIncarnation(header.m_sender);
+    // A challenge is never answered with a challenge, or two hosts could answer each other without end.
+    if ((has_old_token || is_old_start) && !is_challenge) opened.m_reply = Challenge(header);
+    return opened;
+  }
+  LearnToken(header);
+  if (is_challenge) {
+    opened.m_reply = ResendAfter(ValueOf(envelope));
+  } else {
+    opened.m_envelope = std::move(ValueOf(envelope));
+  }
+  return opened;
+}
+
+void SecureChannel::LearnToken(const EnvelopeHeader& header) {
+  // Forgetting a token costs one challenge.
+  if (m_peer_tokens.size() >= m_limit && !m_peer_tokens.contains(header.m_sender))
+    m_peer_tokens.erase(m_peer_tokens.begin());
+  m_peer_tokens[header.m_sender] = header.m_sender_token;
+}
+
+std::vector<std::byte> SecureChannel::Challenge(const EnvelopeHeader& header) {
+  const ChallengePayload payload{header.m_sequence, m_window.HighestIncarnation(header.m_sender)};
+  auto sealed = SealWithToken(header.m_sender, header.m_sender_token, MessageType::kSessionChallenge,
+                              wire::Encode(payload), kMaxUdpMessageBytes);
+  return IsOk(sealed) ? std::move(ValueOf(sealed)) : std::vector<std::byte>();
+}
+
+std::vector<std::byte> SecureChannel::ResendAfter(const Envelope& challenge) {
+  Result<ChallengePayload> payload = wire::Decode<ChallengePayload>(challenge.m_payload);
+  if (!IsOk(payload)) return {};
+  if (ValueOf(payload).m_known_incarnation > m_incarnation) {
+    m_higher_incarnation = std::max(m_higher_incarnation.value_or(Incarnation{}), ValueOf(payload).m_known_incarnation);
+    return {};
+  }
+  const auto kept = std::find_if(m_sent.begin(), m_sent.end(), [&payload](const Sent& sent) {
+    return sent.m_sequence == ValueOf(payload).m_sequence;
+  });
+  if (kept == m_sent.end()) return {};
+  auto sealed = SealWithToken(challenge.m_header.m_sender, challenge.m_header.m_sender_token, kept->m_type,
+                              kept->m_payload, kMaxUdpMessageBytes);
+  m_sent.erase(kept);
+  return IsOk(sealed) ? std::move(ValueOf(sealed)) : std::vector<std::byte>();
+}
+
+}  // namespace fighatch
