--- /dev/null
+++ b/include/fighatch/outcome.h
@@ -0,0 +1,47 @@
+#ifndef FIGHATCH_OUTCOME_H_
+#define FIGHATCH_OUTCOME_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "fighatch/error.h"
+#include "fighatch/http_message.h"
+
+namespace fighatch {
+
+/// What a balancer knows about a request when it answers.
+enum class Outcome : std::uint8_t {
+  /// A target ran the request.
+  kAnswered = 0,
+  /// No target ran it and none will under this request id.
+  kNotRun = 1,
+  /// A target may have run it or may still run it.
+  kUnknown = 2,
+};
+
+/// "answered", "not-run" or "unknown", as in the header `Fighatch-Outcome`.
+[[nodiscard]] std::string_view OutcomeName(Outcome outcome) noexcept;
+
+/// An answer with what is known about the request.
+struct RequestAnswer {
+  Outcome m_outcome = Outcome::kUnknown;
+  ErrorCode m_code = ErrorCode::kOk;
+  HttpResponse m_response;
+
+  friend bool operator==(const RequestAnswer&, const RequestAnswer&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_outcome, m_code, m_response);
+  }
+};
+
+/// The answer without a target's response for a 5000s code, with the outcome and status that belong to the code.
+[[nodiscard]] RequestAnswer MakeRefusal(ErrorCode code);
+
+/// The answer "unknown" (502) with the given code.
+[[nodiscard]] RequestAnswer MakeUnknown(ErrorCode code = ErrorCode::kRequestOutcomeUnknown);
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_OUTCOME_H_
--- /dev/null
+++ b/src/request/engine_handover.cc
@@ -0,0 +1,109 @@
+#include <vector>
+
+#include "request/engine_state.h"
+
+namespace fighatch {
+
+void RequestEngineState::On(const ForwardedAnswer& event) {
+  Call* call = FindCall(event.m_forward_id);
+  const bool is_ours = event.m_origin == m_settings.m_host && event.m_origin_incarnation == m_settings.m_incarnation;
+  if (!is_ours || call == nullptr || call->m_phase != CallPhase::kForwarded) {
+    ++m_statistics.m_late_events;
+    return;
+  }
+  Finish(*call, event.m_answer);
+}
+
+void RequestEngineState::On(const ForwardFailed& event) {
+  Call* call = FindCall(event.m_forward_id);
+  if (call == nullptr || call->m_phase != CallPhase::kForwarded) return;
+  ServiceState* service = FindService(call->m_service);
+  if (service == nullptr || !service->IsIdempotent(call->m_request)) return Finish(*call, MakeUnknown());
+  // The other balancer may have got it before the failure, which does no harm to an idempotent request.
+  call->m_may_have_run = true;
+  call->m_phase = CallPhase::kQueued;
+  Enqueue(*call);
+}
+
+void RequestEngineState::On(const MemberAlive& event) {
+  m_duties.OnMemberAlive(event.m_host, event.m_incarnation);
+  if (event.m_host == m_successor) m_successor_alive = true;
+}
+
+void RequestEngineState::On(const MemberDied& event) {
+  m_duties.OnMemberDied(event.m_host, event.m_incarnation);
+  if (event.m_host == m_successor) m_successor_alive = false;
+  FinishForwardsTo(event.m_host);
+  EndDutiesFrom(event.m_host);
+}
+
+void RequestEngineState::FinishForwardsTo(HostId host) {
+  std::vector<std::uint64_t> forwarded;
+  for (const auto& [id, call] : m_calls) {
+    if (call.m_phase == CallPhase::kForwarded && call.m_peer == host) forwarded.push_back(id);
+  }
+  for (const std::uint64_t id : forwarded) Finish(*FindCall(id), MakeUnknown());
+}
+
+void RequestEngineState::EndDutiesFrom(HostId host) {
+  for (const IssuerKey& issuer : m_duties.DutiesFrom(host)) {
+    for (const RequestId& id : m_journal.OpenIds(issuer.first, issuer.second)) {
+      Call* call = FindLocalCall(id);
+      // Requests that this balancer dispatched itself go on.
+      if (call != nullptr && call->m_phase != CallPhase::kAwaitingHandover) continue;
+      FinishEntry(id, m_journal.Find(id), MakeUnknown());
+      if (call != nullptr) Finish(*call, MakeUnknown());
+    }
+  }
+}
+
+void RequestEngineState::On(const StopRequested& event) {
+  if (IsStopping()) return;
+  m_successor = event.m_successor;
+  m_successor_alive = true;
+  HandOver({m_settings.m_host, m_settings.m_incarnation});
+  for (const IssuerKey& issuer : m_duties.CompleteDuties()) HandOver(issuer);
+}
+
+void RequestEngineState::HandOver(const IssuerKey& issuer) {
+  m_outbox.AddInitial(issuer, m_duties.IssuerClock(issuer, m_now),
+                      m_journal.Export(issuer.first, issuer.second, m_now));
+}
+
+void RequestEngineState::On(const Handover& event) {
+  const IssuerKey issuer(event.m_issuer, event.m_issuer_incarnation);
+  // A stopping balancer takes no new duty, and takes the ends of requests of the duties that it has.
+  const bool refuses = event.m_shard != m_settings.m_shard || (IsStopping() && !m_duties.Knows(issuer));
+  if (refuses || !m_duties.MayTake(event)) return;
+  for (const JournalRecord& record : event.m_records) {
+    if (!m_journal.Import(record, m_now)) return;
+    TakeRecord(record);
+  }
+  if (m_duties.Take(event, m_now)) {
+    m_actions.push_back(AnnounceSuccessor{{event.m_issuer, event.m_issuer_incarnation, m_settings.m_host}});
+    if (IsStopping()) HandOver(issuer);
+  }
+  m_actions.push_back(SendHandoverAck{
+      event.m_sender,
+      {m_settings.m_host, event.m_issuer, event.m_issuer_incarnation, m_settings.m_shard, event.m_part}});
+}
+
+void RequestEngineState::TakeRecord(const JournalRecord& record) {
+  if (!IsFinal(record.m_state)) return;
+  Call* call = FindLocalCall(record.m_id);
+  if (call != nullptr && call->m_phase == CallPhase::kAwaitingHandover) {
+    Finish(*call, AnswerOf(*m_journal.Find(record.m_id)));
+  }
+  const IssuerKey issuer(record.m_id.m_issuer, record.m_id.m_incarnation);
+  if (!m_outbox.HandedOver(issuer)) return;
+  const JournalEntry& entry = *m_journal.Find(record.m_id);
+  m_outbox.AddUpdate(issuer, m_duties.IssuerClock(issuer, m_now), RequestJournal::ToRecord(record.m_id, entry, m_now));
+}
+
+void RequestEngineState::On(const HandoverAck& event) {
+  if (event.m_shard == m_settings.m_shard && event.m_successor == m_successor) m_outbox.OnAck(event);
+}
+
+void RequestEngineState::On(const SuccessorNotice& event) { m_duties.OnNotice(event, m_now); }
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/request/handover_outbox.h
@@ -0,0 +1,46 @@
+#ifndef FIGHATCH_REQUEST_HANDOVER_OUTBOX_H_
+#define FIGHATCH_REQUEST_HANDOVER_OUTBOX_H_
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "request/duty_table.h"
+
+namespace fighatch {
+
+/// Parts of a stopping balancer's handover that the successor has not confirmed yet.
+class HandoverOutbox {
+ public:
+  /// `frame` carries the sender and the shard; the other fields are filled in here.
+  explicit HandoverOutbox(Handover frame) : m_frame(std::move(frame)) {}
+
+  /// Splits the records of an issuer incarnation into its initial parts.
+  void AddInitial(const IssuerKey& issuer, TimePoint issuer_clock, std::vector<JournalRecord> records);
+
+  /// Adds a part with the end of one request; false if the incarnation was not handed over.
+  bool AddUpdate(const IssuerKey& issuer, TimePoint issuer_clock, JournalRecord record);
+
+  void OnAck(const HandoverAck& ack);
+
+  /// Parts to be sent: those that were not sent yet, or all that are not confirmed.
+  [[nodiscard]] std::vector<Handover> TakeNew();
+  [[nodiscard]] std::vector<Handover> Unconfirmed() const;
+
+  [[nodiscard]] bool HandedOver(const IssuerKey& issuer) const { return m_next_part.contains(issuer); }
+  [[nodiscard]] bool IsEmpty() const noexcept { return m_parts.empty(); }
+
+ private:
+  using PartKey = std::pair<IssuerKey, std::uint32_t>;
+
+  void Add(Handover part);
+
+  Handover m_frame;
+  std::map<IssuerKey, std::pair<std::uint32_t, std::uint32_t>> m_next_part;
+  std::map<PartKey, Handover> m_parts;
+  std::vector<PartKey> m_new;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_REQUEST_HANDOVER_OUTBOX_H_
--- /dev/null
+++ b/tests/request_engine_test.cc
@@ -0,0 +1,169 @@
+#include "fighatch/request_engine.h"
+
+#include <gtest/gtest.h>
+
+#include "request_fakes.h"
+
+namespace fighatch::testing {
+namespace {
+
+// Guards against a record without an id, which a resend would double.
+TEST(RequestEngineTest, PostWithoutIdGetsFreshId) {
+  EngineFixture fixture;
+  const auto answer = Only<SendAnswer>(fixture.Handle(MakeRequest("POST", "/weigh"))).m_response;
+  EXPECT_EQ(answer.m_status, 428);
+  EXPECT_EQ(Verdict(answer), "not-run 5004");
+  EXPECT_TRUE(IsOk(RequestIdCodec(MakeSettings(1).m_key).Parse(Field(answer, "Idempotency-Key"))));
+}
+
+// Guards against a second dispatch for a resend, and against resends that get another answer than the first request.
+TEST(RequestEngineTest, ResendsGetTheSameAnswerFromOneDispatch) {
+  EngineFixture fixture;
+  const CallerRequest request = MakeRequest("POST", "/weigh", fixture.NewId(), "cow 7");
+  const auto sent = Only<DispatchToTarget>(fixture.Handle(request));
+  CallerRequest other_port = request;
+  other_port.m_caller.m_port = 4001;
+  EXPECT_TRUE(All<DispatchToTarget>(fixture.Handle(other_port)).empty());
+  const auto both = All<SendAnswer>(fixture.Handle(TargetResponded{sent.m_exchange, MakeResponse(201, "r1")}));
+  ASSERT_EQ(both.size(), 2U);
+  fixture.m_now += seconds(59);
+  const auto later = Only<SendAnswer>(fixture.Handle(request)).m_response;
+  EXPECT_EQ(later.m_status, 201);
+  EXPECT_EQ(later.m_body, "r1");
+  EXPECT_EQ(Verdict(later), "answered 0");
+  fixture.m_now += seconds(2);
+  EXPECT_EQ(Verdict(Only<SendAnswer>(fixture.Handle(request)).m_response), "unknown 5003");
+  EXPECT_EQ(fixture.m_engine.JournalEntries(), 0U);
+}
+
+// Guards against an id that is used again for other content being answered with the first content's answer.
+TEST(RequestEngineTest, OtherContentUnderOneIdIsRefused) {
+  EngineFixture fixture;
+  const std::string id = fixture.NewId();
+  const auto sent = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", id, "cow 7")));
+  (void)fixture.Handle(TargetResponded{sent.m_exchange, MakeResponse(201, "r1")});
+  const auto answer = Only<SendAnswer>(fixture.Handle(MakeRequest("POST", "/weigh", id, "cow 8"))).m_response;
+  EXPECT_EQ(Verdict(answer), "not-run 5005");
+}
+
+// Guards against dispatching an id after its refusal was given out.
+TEST(RequestEngineTest, RefusedIdIsNeverDispatched) {
+  EngineFixture fixture(1, 0);
+  CallerRequest request = MakeRequest("POST", "/weigh", fixture.NewId());
+  (void)fixture.Handle(request);
+  const auto refused = Only<SendAnswer>(fixture.Advance(seconds(2))).m_response;
+  EXPECT_EQ(Verdict(refused), "not-run 5002");
+  fixture.m_allowance.m_limits[TargetId{1}] = 2;
+  EXPECT_EQ(Verdict(Only<SendAnswer>(fixture.Handle(request)).m_response), "not-run 5002");
+}
+
+// Guards against a retry or "not run" after bytes of a non-idempotent request were written.
+TEST(RequestEngineTest, LostConnectionOfNonIdempotentIsUnknown) {
+  EngineFixture fixture;
+  fixture.EarnRetries(2);
+  const auto sent = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", fixture.NewId())));
+  const RequestActions actions = fixture.Handle(TargetFailed{sent.m_exchange, TargetFailure::kLost});
+  EXPECT_TRUE(All<DispatchToTarget>(actions).empty());
+  EXPECT_EQ(Verdict(Only<SendAnswer>(actions).m_response), "unknown 5003");
+}
+
+// Guards against giving up, or retrying on the same target, where the target has proved that it did not run it.
+TEST(RequestEngineTest, ProofOfNotRunIsRetriedElsewhereWithinTheBudget) {
+  EngineFixture fixture;
+  const HttpHeaders retry_after = {{"Retry-After", "1"}};
+  const std::string first_id = fixture.NewId();
+  const auto first = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", first_id)));
+  const auto denied = fixture.Handle(TargetResponded{first.m_exchange, MakeResponse(503, "", retry_after)});
+  EXPECT_EQ(Verdict(Only<SendAnswer>(denied).m_response), "not-run 5011") << "no budget yet";
+  fixture.EarnRetries(1);
+  const auto sent = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", fixture.NewId())));
+  const auto again =
+      Only<DispatchToTarget>(fixture.Handle(TargetResponded{sent.m_exchange, MakeResponse(503, "", retry_after)}));
+  EXPECT_NE(again.m_target, sent.m_target);
+  const auto done = fixture.Handle(TargetResponded{again.m_exchange, MakeResponse(201, "ok")});
+  EXPECT_EQ(Verdict(Only<SendAnswer>(done).m_response), "answered 0");
+  EXPECT_EQ(fixture.m_engine.Statistics().m_retries, 1U);
+}
+
+// Guards against late, duplicated and crossed responses reaching a request that they do not belong to.
+TEST(RequestEngineTest, LateDuplicatedAndCrossedResponsesAreDropped) {
+  EngineFixture fixture;
+  const auto first = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", fixture.NewId(), "a")));
+  const auto second = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", fixture.NewId(), "b")));
+  const std::string first_id(*FindHeader(first.m_request.m_headers, "Idempotency-Key"));
+  const HttpResponse crossed = MakeResponse(201, "a", {{"Idempotency-Key", first_id}});
+  const RequestActions actions = fixture.Handle(TargetResponded{second.m_exchange, crossed});
+  EXPECT_EQ(Verdict(Only<SendAnswer>(actions).m_response), "unknown 5003");
+  EXPECT_EQ(Only<CancelAtTarget>(actions).m_exchange, second.m_exchange);
+  EXPECT_EQ(All<SendAnswer>(fixture.Handle(TargetResponded{first.m_exchange, crossed})).size(), 1U);
+  EXPECT_TRUE(All<SendAnswer>(fixture.Handle(TargetResponded{first.m_exchange, crossed})).empty());
+  EXPECT_TRUE(All<SendAnswer>(fixture.Handle(TargetResponded{second.m_exchange, crossed})).empty());
+  EXPECT_EQ(fixture.m_allowance.InUse(), 0U);
+}
+
+// Guards against truncated answers: what does not fit in a datagram is answered without a body.
+TEST(RequestEngineTest, LargeAnswerIsReportedNotTruncated) {
+  EngineFixture fixture;
+  for (const std::size_t bytes : {15'000U, 16'384U}) {
+    const auto sent = Only<DispatchToTarget>(fixture.Handle(MakeRequest("GET", "/")));
+    const auto answer =
+        Only<SendAnswer>(fixture.Handle(TargetResponded{sent.m_exchange, MakeResponse(200, std::string(bytes, 'x'))}));
+    EXPECT_EQ(Verdict(answer.m_response), bytes < 16'000 ? "answered 0" : "answered 5008");
+    EXPECT_EQ(answer.m_response.m_body.size(), bytes < 16'000 ? bytes : 0);
+    EXPECT_LE(ToString(answer.m_response).size(), 16'384U);
+  }
+}
+
+// Guards against work for a caller that has given up, and against a late datagram starting a cancelled request.
+TEST(RequestEngineTest, DeleteCancelsInEveryState) {
+  EngineFixture fixture(1, 1);
+  const std::string running = fixture.NewId();
+  const std::string queued = fixture.NewId();
+  const std::string early = fixture.NewId();
+  const auto sent = Only<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", running)));
+  EXPECT_TRUE(All<DispatchToTarget>(fixture.Handle(MakeRequest("POST", "/weigh", queued))).empty());
+  const auto cancel = [&fixture](const std::string& id) {
+    return fixture.Handle(MakeRequest("DELETE", "/.well-known/fighatch/request/" + id));
+  };
+  EXPECT_EQ(Verdict(All<SendAnswer>(cancel(queued)).at(1).m_response), "not-run 5010");
+  const RequestActions stopped = cancel(running);
+  EXPECT_EQ(Only<CancelAtTarget>(stopped).m_exchange, sent.m_exchange);
+  EXPECT_EQ(Verdict(All<SendAnswer>(stopped).at(1).m_response), "unknown 5010");
+  EXPECT_EQ(Verdict(Only<SendAnswer>(cancel(early)).m_response), "not-run 5010");
+  EXPECT_EQ(Verdict(Only<SendAnswer>(fixture.Handle(MakeRequest("POST", "/weigh", early))).m_response), "not-run 5010");
+  EXPECT_EQ(fixture.m_allowance.InUse(), 0U);
+}
+
+// Guards against admitting requests that would only expire in the queue.
+TEST(RequestEngineTest, RefusesEarlyWhenTheWaitExceedsTheTimeLeft) {
+  EngineFixture fixture(1, 1);
+  const auto first = Only<DispatchToTarget>(fixture.Handle(MakeRequest("GET", "/")));
+  fixture.m_now += milliseconds(100);
+  (void)fixture.Handle(TargetResponded{first.m_exchange, MakeResponse(200, "")});
+  std::size_t refused = 0;
+  for (int count = 0; count < 40; ++count) {
+    CallerRequest request = MakeRequest("GET", "/");
+    request.m_caller.m_port = static_cast<std::uint16_t>(5000 + count);
+    for (const SendAnswer& answer : All<SendAnswer>(fixture.Handle(request))) {
+      EXPECT_EQ(Verdict(answer.m_response), "not-run 5001");
+      ++refused;
+    }
+  }
+  // 2 s of patience at 100 ms a request: one runs, and 20 wait with the last 100 ms for their own run.
+  EXPECT_EQ(refused, 40U - 1U - 20U);
+}
+
+// Guards against the most urgent request waiting behind patient ones.
+TEST(RequestEngineTest, QueueServesTheEarliestDeadlineFirst) {
+  EngineFixture fixture(1, 1);
+  const auto first = Only<DispatchToTarget>(fixture.Handle(MakeRequest("GET", "/running")));
+  (void)fixture.Handle(MakeRequest("GET", "/patient"));
+  CallerRequest urgent = MakeRequest("GET", "/urgent");
+  urgent.m_request.m_headers.push_back({"Request-Timeout", "500"});
+  (void)fixture.Handle(urgent);
+  const auto next = fixture.Handle(TargetResponded{first.m_exchange, MakeResponse(200, "")});
+  EXPECT_EQ(Only<DispatchToTarget>(next).m_request.m_path, "/urgent");
+}
+
+}  // namespace
+}  // namespace fighatch::testing
