--- a/include/fighatch/error.h
+++ b/include/fighatch/error.h
@@ -26,6 +26,7 @@
   kPacketNoTarget = 1009,
   kPacketBadChecksum = 1010,
   kPacketWrongService = 1011,
+  kPacketNoRecordSpace = 1012,
 
   kSettingsSyntax = 2001,
   kSettingsUnknownField = 2002,
--- /dev/null
+++ b/include/fighatch/flow_records.h
@@ -0,0 +1,92 @@
+#ifndef FIGHATCH_FLOW_RECORDS_H_
+#define FIGHATCH_FLOW_RECORDS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "fighatch/ids.h"
+#include "fighatch/time.h"
+
+namespace fighatch {
+
+/// A flow's target, held by its keepers while the flow's slot changes.
+struct FlowRecord {
+  std::uint64_t m_fingerprint = 0;
+  TargetId m_target;
+  ServiceId m_service;
+  /// Time of the last packet in ticks of 2^27 ns (134 ms).
+  std::uint32_t m_last_seen = 0;
+
+  friend bool operator==(const FlowRecord&, const FlowRecord&) = default;
+};
+
+static_assert(sizeof(FlowRecord) <= 64, "a held flow takes at most 64 bytes");
+
+/// The tick that a time point falls in.
+[[nodiscard]] constexpr std::uint32_t FlowTick(TimePoint time) noexcept {
+  return static_cast<std::uint32_t>(static_cast<std::uint64_t>(time.time_since_epoch().count()) >> 27U);
+}
+
+/// The number of ticks that a duration spans, rounded up.
+[[nodiscard]] constexpr std::uint32_t FlowTicks(Duration duration) noexcept {
+  return static_cast<std::uint32_t>((static_cast<std::uint64_t>(duration.count()) + (1ULL << 27U) - 1) >> 27U);
+}
+
+/// A bounded table of flow records with open addressing. Memory is allocated by the constructor only.
+class FlowRecords {
+ public:
+  /// A table for up to `capacity` records; it takes at most 24 / 0.8 bytes times the next power of two above.
+  explicit FlowRecords(std::size_t capacity);
+
+  /// The record of the flow; null if there is none.
+  [[nodiscard]] const FlowRecord* Find(std::uint64_t fingerprint, ServiceId service) const noexcept;
+
+  /// `Find`, and sets the time of the last packet.
+  [[nodiscard]] const FlowRecord* Touch(std::uint64_t fingerprint, ServiceId service, std::uint32_t tick) noexcept;
+
+  /// Adds a record. A record of the same flow stays as it is: a flow never changes its target. False if full.
+  [[nodiscard]] bool Insert(const FlowRecord& record) noexcept;
+
+  /// Removes the record of the flow if there is one.
+  void Erase(std::uint64_t fingerprint, ServiceId service) noexcept;
+
+  [[nodiscard]] std::size_t size() const noexcept { return m_size; }
+  [[nodiscard]] std::size_t Capacity() const noexcept { return m_capacity; }
+  [[nodiscard]] std::size_t Bytes() const noexcept { return m_slots.size() * sizeof(FlowRecord); }
+
+  /// Number of positions for `At`, held or not.
+  [[nodiscard]] std::size_t Positions() const noexcept { return m_slots.size(); }
+  /// The record at a position; null if the position is free.
+  [[nodiscard]] const FlowRecord* At(std::size_t position) const noexcept;
+
+  /// Visits the next `count` positions and removes the records for which `expired(record)` is true.
+  template <typename Expired>
+  void Sweep(std::size_t count, const Expired& expired) {
+    for (; count > 0; --count) {
+      m_sweep_position &= m_mask;
+      const FlowRecord* record = At(m_sweep_position);
+      // An erased position may take a later record, which is then visited as well.
+      if (record != nullptr && expired(*record)) {
+        EraseAt(m_sweep_position);
+      } else {
+        ++m_sweep_position;
+      }
+    }
+  }
+
+ private:
+  [[nodiscard]] std::size_t FindPosition(std::uint64_t fingerprint, ServiceId service) const noexcept;
+  void EraseAt(std::size_t position) noexcept;
+
+  std::size_t m_capacity;
+  std::size_t m_size = 0;
+  std::size_t m_mask = 0;
+  std::size_t m_sweep_position = 0;
+  std::vector<FlowRecord> m_slots;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_FLOW_RECORDS_H_
--- /dev/null
+++ b/include/fighatch/flow_records_message.h
@@ -0,0 +1,82 @@
+#ifndef FIGHATCH_FLOW_RECORDS_MESSAGE_H_
+#define FIGHATCH_FLOW_RECORDS_MESSAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "fighatch/ids.h"
+#include "fighatch/result.h"
+
+namespace fighatch {
+
+/// A flow record between balancers: 24 bytes. Clocks are not compared, so the age is sent.
+struct WireFlowRecord {
+  std::uint64_t m_fingerprint = 0;
+  TargetId m_target;
+  ServiceId m_service;
+  /// Ticks (134 ms) since the last packet.
+  std::uint32_t m_age = 0;
+
+  friend bool operator==(const WireFlowRecord&, const WireFlowRecord&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_fingerprint, m_target, m_service, m_age);
+  }
+};
+
+/// Records in one message at most, so that it fits an Ethernet frame.
+inline constexpr std::size_t kMaxRecordsInMessage = 48;
+
+/// The version of both messages that this program speaks.
+inline constexpr std::uint8_t kFlowRecordsVersion = 1;
+
+/// A batch of records, resent until it is acknowledged.
+struct FlowRecordsMessage {
+  std::uint8_t m_version = kFlowRecordsVersion;
+  HostId m_sender;
+  /// The sender's shard and its number of shards. The receiver sorts records into its own shards by fingerprint.
+  std::uint16_t m_shard = 0;
+  std::uint16_t m_shards = 1;
+  std::uint64_t m_sequence = 0;
+  /// True for the last batch of a transfer to a joining balancer.
+  bool m_final = false;
+  std::vector<WireFlowRecord> m_records;
+
+  friend bool operator==(const FlowRecordsMessage&, const FlowRecordsMessage&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_version, m_sender, m_shard, m_shards, m_sequence, m_final, m_records);
+  }
+};
+
+/// Says that a batch was taken. It goes to the shard that sent the batch.
+struct FlowRecordsAck {
+  std::uint8_t m_version = kFlowRecordsVersion;
+  HostId m_sender;
+  std::uint16_t m_shard = 0;
+  std::uint64_t m_sequence = 0;
+
+  friend bool operator==(const FlowRecordsAck&, const FlowRecordsAck&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_version, m_sender, m_shard, m_sequence);
+  }
+};
+
+/// Encodes a batch in cereal's portable binary form.
+[[nodiscard]] std::vector<std::byte> EncodeFlowRecords(const FlowRecordsMessage& message);
+/// Decodes a batch. Errors: `kMessageMalformed`, `kMessageUnknownVersion`, `kMessageOversized`.
+[[nodiscard]] Result<FlowRecordsMessage> DecodeFlowRecords(std::span<const std::byte> bytes);
+/// \copydoc EncodeFlowRecords
+[[nodiscard]] std::vector<std::byte> EncodeFlowRecordsAck(const FlowRecordsAck& ack);
+/// Decodes an acknowledgement. Errors: `kMessageMalformed`, `kMessageUnknownVersion`.
+[[nodiscard]] Result<FlowRecordsAck> DecodeFlowRecordsAck(std::span<const std::byte> bytes);
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_FLOW_RECORDS_MESSAGE_H_
--- a/include/fighatch/ids.h
+++ b/include/fighatch/ids.h
@@ -15,7 +15,8 @@
 
   Rep m_value = 0;
 
-  friend constexpr auto operator<=>(const StrongId&, const StrongId&) = default;
+  // clang-tidy 14 takes the 0 that the compiler compares the result with for a null pointer.
+  friend constexpr auto operator<=>(const StrongId&, const StrongId&) = default;  // NOLINT(modernize-use-nullptr)
 
   /// Serialises the id as its number.
   template <typename Archive>
--- /dev/null
+++ b/include/fighatch/keeper_ranks.h
@@ -0,0 +1,81 @@
+#ifndef FIGHATCH_KEEPER_RANKS_H_
+#define FIGHATCH_KEEPER_RANKS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "fighatch/address.h"
+#include "fighatch/ids.h"
+#include "fighatch/member.h"
+
+namespace fighatch {
+
+/// A balancer as the data path needs it.
+struct BalancerEntry {
+  HostId m_host;
+  Endpoint m_data_endpoint;
+  Endpoint m_control_endpoint;
+  /// True if the balancer is suspect: packets for it go to the second keeper.
+  bool m_suspect = false;
+};
+
+/// The keeper and the second keeper of a flow; null where there are too few balancers.
+struct KeeperPair {
+  const BalancerEntry* m_first = nullptr;
+  const BalancerEntry* m_second = nullptr;
+
+  /// True if the host is one of the two.
+  [[nodiscard]] bool Has(HostId host) const noexcept {
+    return (m_first != nullptr && m_first->m_host == host) || (m_second != nullptr && m_second->m_host == host);
+  }
+};
+
+/// Ranks the balancers of each data centre by rendezvous hashing. Flows share 4,096 buckets, so that a look-up costs
+/// the same for 7 balancers and for 500.
+class KeeperRanks {
+ public:
+  KeeperRanks() = default;
+  /// Takes the live and suspect balancers.
+  explicit KeeperRanks(std::span<const Member> members);
+
+  /// The keepers in force: those that are ready. If no balancer of the data centre is ready, all count as ready.
+  [[nodiscard]] KeeperPair Find(DataCentreId data_centre, std::uint64_t flow_hash) const noexcept;
+  /// The keepers once the joining balancers are ready.
+  [[nodiscard]] KeeperPair FindProspective(DataCentreId data_centre, std::uint64_t flow_hash) const noexcept;
+  /// The live or suspect balancer; null if it is gone.
+  [[nodiscard]] const BalancerEntry* FindBalancer(HostId host) const noexcept;
+  /// The ready balancers of a data centre; all of them if none is ready.
+  [[nodiscard]] std::vector<BalancerEntry> Ready(DataCentreId data_centre) const;
+  /// The balancers of a data centre that wait for records while others are ready.
+  [[nodiscard]] std::vector<BalancerEntry> Joining(DataCentreId data_centre) const;
+  [[nodiscard]] std::size_t Bytes() const noexcept;
+
+ private:
+  using Ranks = std::array<std::uint16_t, 2>;
+  struct Group {
+    DataCentreId m_data_centre;
+    std::vector<std::uint16_t> m_ready_balancers;
+    std::vector<std::uint16_t> m_joining_balancers;
+    /// One pair of indexes for each bucket.
+    std::vector<Ranks> m_ready;
+    /// Empty if equal to `m_ready`.
+    std::vector<Ranks> m_prospective;
+  };
+
+  [[nodiscard]] const Group* FindGroup(DataCentreId data_centre) const noexcept;
+  [[nodiscard]] std::vector<BalancerEntry> Select(const std::vector<std::uint16_t>& indexes) const;
+  [[nodiscard]] KeeperPair PairOf(const std::vector<Ranks>& ranks, std::uint64_t flow_hash) const noexcept;
+  [[nodiscard]] static std::vector<Ranks> RankAll(std::span<const std::uint16_t> indexes,
+                                                  const std::vector<BalancerEntry>& balancers);
+
+  /// Ascending by host id.
+  std::vector<BalancerEntry> m_balancers;
+  std::vector<Group> m_groups;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_KEEPER_RANKS_H_
--- a/include/fighatch/table_update.h
+++ b/include/fighatch/table_update.h
@@ -76,6 +76,9 @@
   TransitionPhase m_phase = TransitionPhase::kSettled;
   /// Oldest owners that may hold flows.
   std::vector<OwnerEntry> m_base;
+  /// Lists that were `m_current` after `m_base` and before the present one, oldest first. A slot that moved away and
+  /// back has equal owners by base and current, but flows at the owner between them.
+  std::vector<std::vector<OwnerEntry>> m_past;
   /// Owners that new flows open by.
   std::vector<OwnerEntry> m_current;
   /// Owners that come next; used only in phase `kLearning`.
@@ -85,7 +88,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_service, m_data_centre, m_version, m_phase, m_base, m_current, m_next);
+    archive(m_service, m_data_centre, m_version, m_phase, m_base, m_past, m_current, m_next);
   }
 };
 
@@ -108,7 +111,7 @@
   ServiceId m_service;
   DataCentreId m_data_centre;
   Version m_version;
-  /// Seconds since a packet last went to an owner by `m_base` that is not the owner by `m_current`.
+  /// Seconds since a packet last went to a target that is not the owner of its slot by `m_current`.
   std::uint32_t m_base_idle_s = 0;
 
   friend bool operator==(const TableAck&, const TableAck&) = default;
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -20,6 +20,8 @@
     {ErrorCode::kPacketNoTarget, "packet_no_target", "the service has no target that may take the packet"},
     {ErrorCode::kPacketBadChecksum, "packet_bad_checksum", "a header checksum is wrong"},
     {ErrorCode::kPacketWrongService, "packet_wrong_service", "the table entry names a target of another service"},
+    {ErrorCode::kPacketNoRecordSpace, "packet_no_record_space",
+     "the table of flow records is full; no new flow opens in a changing slot"},
     {ErrorCode::kSettingsSyntax, "settings_syntax", "the settings are not valid JSON with comments"},
     {ErrorCode::kSettingsUnknownField, "settings_unknown_field", "a field that the program does not know"},
     {ErrorCode::kSettingsWrongType, "settings_wrong_type", "a field has the wrong type"},
--- /dev/null
+++ b/src/flow/flow_decider.cc
@@ -0,0 +1,194 @@
+#include "fighatch/flow_decider.h"
+
+#include <algorithm>
+
+#include "fighatch/gue.h"
+#include "flow/keeper_holders.h"
+
+namespace fighatch {
+namespace {
+
+/// 4,000 first packets a second are remembered for 4 s by one shard: longer than a caller's second retransmission
+/// takes.
+constexpr std::size_t kRecentFirstPackets = 16384;
+
+Decision Drop(const ServiceTable* service, ErrorCode code) noexcept {
+  Decision decision;
+  decision.m_code = code;
+  if (service != nullptr) decision.m_service = service->Id();
+  return decision;
+}
+
+bool IsFromKeeperLookup(ForwardReason reason) noexcept {
+  return reason == ForwardReason::kKeeper || reason == ForwardReason::kSecondKeeper;
+}
+
+}  // namespace
+
+FlowDecider::FlowDecider(FlowDeciderOptions options)
+    : m_options(options),
+      m_records(options.m_record_capacity),
+      m_transfer(options.m_transfer),
+      m_recent_first(kRecentFirstPackets) {}
+
+Decision FlowDecider::Decide(const Packet& packet, TimePoint now) {
+  const ServiceTable* service =
+      m_table == nullptr ? nullptr : m_table->FindService(packet.m_key.m_destination, packet.m_key.m_transport);
+  if (service == nullptr) return Drop(nullptr, ErrorCode::kPacketUnknownService);
+  const Context context{&packet, service, now};
+  if (service->Mode() == ServiceMode::kRequest) {
+    Decision decision;
+    decision.m_kind = DecisionKind::kRequest;
+    decision.m_service = service->Id();
+    return decision;
+  }
+  if (IsStale(now)) {
+    const BalancerEntry* peer = FreshPeer(context);
+    if (peer != nullptr && RecordedTarget(context) == nullptr) {
+      return SendToBalancer(context, peer, ForwardReason::kStaleTable);
+    }
+  }
+  const std::uint32_t slot = service->SlotOf(packet.m_flow_hash);
+  const TargetEntry* settled = service->SettledOwner(slot);
+  return settled != nullptr ? DecideSettled(context, *settled) : DecideChanging(context, slot);
+}
+
+Decision FlowDecider::DecideSettled(const Context& context, const TargetEntry& owner) {
+  // A packet that another balancer sent to its keeper may belong to a flow whose slot settled in this table only.
+  if (IsFromKeeperLookup(context.m_packet->m_reason)) {
+    const TargetEntry* recorded = RecordedTarget(context);
+    if (recorded != nullptr) return SendToTarget(context, *recorded);
+  }
+  if (context.m_packet->m_kind == PacketKind::kFirst) {
+    NoteFirstPacket({context.m_packet->m_flow_hash, owner.m_id, context.m_service->Id(), FlowTick(context.m_now)});
+  }
+  return SendToTarget(context, owner);
+}
+
+Decision FlowDecider::DecideChanging(const Context& context, std::uint32_t slot) {
+  const SlotOwners owners = context.m_service->Resolve(slot);
+  if (owners.m_settled) return Drop(context.m_service, ErrorCode::kPacketNoTarget);
+  // A record is never changed, so that any balancer that holds one may decide.
+  const TargetEntry* recorded = RecordedTarget(context);
+  if (recorded != nullptr) {
+    NoteNotCurrent(context, owners, *recorded);
+    return SendToTarget(context, *recorded);
+  }
+  const KeeperPair keepers = m_table->Keepers().Find(owners.m_keeper_data_centre, context.m_packet->m_flow_hash);
+  if (ActsAsKeeper(context, keepers)) return DecideAsKeeper(context, owners);
+  // A balancer of the data centre by base that is asked by the keeper of the newest one answers by its own level 2.
+  const bool is_base_keeper = owners.m_ask_base_keeper && IsFromKeeperLookup(context.m_packet->m_reason) &&
+                              m_table->SelfDataCentre() == owners.m_base_data_centre;
+  if (is_base_keeper && context.m_packet->m_kind == PacketKind::kLater) return SendToBase(context, owners);
+  if (keepers.m_first->m_suspect && keepers.m_second != nullptr) {
+    return SendToBalancer(context, keepers.m_second, ForwardReason::kSecondKeeper);
+  }
+  return SendToBalancer(context, keepers.m_first, ForwardReason::kKeeper);
+}
+
+bool FlowDecider::ActsAsKeeper(const Context& context, const KeeperPair& keepers) const noexcept {
+  const HostId self = m_table->Self();
+  if (keepers.m_first == nullptr || keepers.m_first->m_host == self) return true;
+  // The hop limit ends a disagreement about the keeper.
+  if (context.m_packet->m_hop_count + 1 >= kMaxHops) return true;
+  // The second balancer on the way was the keeper, with a stale table and no record.
+  if (context.m_packet->m_reason == ForwardReason::kStaleTable && context.m_packet->m_hop_count >= 2) return true;
+  if (keepers.m_second == nullptr || keepers.m_second->m_host != self) return false;
+  return keepers.m_first->m_suspect || context.m_packet->m_reason == ForwardReason::kSecondKeeper;
+}
+
+Decision FlowDecider::DecideAsKeeper(const Context& context, const SlotOwners& owners) {
+  if (context.m_packet->m_kind != PacketKind::kLater) return OpenFlow(context, owners);
+  if (owners.m_ask_base_keeper && context.m_packet->m_hop_count + 1 < kMaxHops) {
+    const KeeperPair base = m_table->Keepers().Find(owners.m_base_data_centre, context.m_packet->m_flow_hash);
+    const bool use_second = base.m_first != nullptr && base.m_first->m_suspect && base.m_second != nullptr;
+    const BalancerEntry* keeper = use_second ? base.m_second : base.m_first;
+    if (keeper != nullptr) return SendToBalancer(context, keeper, ForwardReason::kKeeper);
+  }
+  return SendToBase(context, owners);
+}
+
+Decision FlowDecider::OpenFlow(const Context& context, const SlotOwners& owners) {
+  const TargetEntry* target = owners.m_current;
+  if (target == nullptr) return Drop(context.m_service, ErrorCode::kPacketNoTarget);
+  const FlowRecord record{context.m_packet->m_flow_hash, target->m_id, context.m_service->Id(),
+                          FlowTick(context.m_now)};
+  if (!owners.m_record_first) {
+    NoteFirstPacket(record);
+    return SendToTarget(context, *target);
+  }
+  // Without a record later packets would go to the base owner, so that a full table refuses the flow, not its rest.
+  if (!AddRecord(record, owners.m_keeper_data_centre, context.m_now)) {
+    return Drop(context.m_service, ErrorCode::kPacketNoRecordSpace);
+  }
+  NoteNotCurrent(context, owners, *target);
+  return SendToTarget(context, *target);
+}
+
+Decision FlowDecider::SendToBase(const Context& context, const SlotOwners& owners) {
+  if (owners.m_base_cut_off || owners.m_base == nullptr) return Drop(context.m_service, ErrorCode::kPacketNoTarget);
+  NoteNotCurrent(context, owners, *owners.m_base);
+  return SendToTarget(context, *owners.m_base);
+}
+
+Decision FlowDecider::SendToTarget(const Context& context, const TargetEntry& target) {
+  if (target.m_service != context.m_service->Id()) return Drop(context.m_service, ErrorCode::kPacketWrongService);
+  const bool is_remote = target.m_data_centre != m_table->SelfDataCentre();
+  if (is_remote && context.m_now - m_contact.m_peer_heard > m_options.m_isolated_after) {
+    return Drop(context.m_service, ErrorCode::kPacketNoTarget);
+  }
+  Decision decision;
+  decision.m_kind = DecisionKind::kTarget;
+  decision.m_service = target.m_service;
+  decision.m_target = target.m_id;
+  decision.m_endpoint = target.m_gue_endpoint;
+  if (m_silence.IsSilent(*context.m_packet, target.m_id, context.m_now)) {
+    decision.m_kind = DecisionKind::kReset;
+    m_records.Erase(context.m_packet->m_flow_hash, target.m_service);
+  }
+  return decision;
+}
+
+Decision FlowDecider::SendToBalancer(const Context& context, const BalancerEntry* balancer, ForwardReason reason) {
+  if (context.m_packet->m_hop_count >= kMaxHops) return Drop(context.m_service, ErrorCode::kPacketLoop);
+  Decision decision;
+  decision.m_kind = DecisionKind::kBalancer;
+  decision.m_reason = reason;
+  decision.m_service = context.m_service->Id();
+  decision.m_balancer = balancer->m_host;
+  decision.m_endpoint = balancer->m_data_endpoint;
+  return decision;
+}
+
+const BalancerEntry* FlowDecider::FreshPeer(const Context& context) const noexcept {
+  // Packets that were already sent on for this reason are served here: the sender knew no fresher table.
+  const bool is_sent_on = context.m_packet->m_reason == ForwardReason::kStaleTable;
+  if (is_sent_on || context.m_packet->m_hop_count + 1 >= kMaxHops) return nullptr;
+  if (m_contact.m_fresh_peer == HostId{} || m_contact.m_fresh_peer == m_table->Self()) return nullptr;
+  return m_table->Keepers().FindBalancer(m_contact.m_fresh_peer);
+}
+
+const TargetEntry* FlowDecider::RecordedTarget(const Context& context) {
+  if (m_records.size() == 0) return nullptr;
+  const FlowRecord* record =
+      m_records.Touch(context.m_packet->m_flow_hash, context.m_service->Id(), FlowTick(context.m_now));
+  if (record == nullptr) return nullptr;
+  const TargetEntry* target = context.m_service->FindTarget(record->m_target);
+  // The target is gone: its flow is lost, and the next one of the same key opens anew.
+  if (target == nullptr) m_records.Erase(record->m_fingerprint, record->m_service);
+  return target;
+}
+
+void FlowDecider::NoteNotCurrent(const Context& context, const SlotOwners& owners, const TargetEntry& target) {
+  if (&target == owners.m_current) return;
+  m_not_current[{context.m_service->Id(), target.m_data_centre}] = context.m_now;
+  const bool other_site = owners.m_current == nullptr || owners.m_current->m_data_centre != target.m_data_centre;
+  if (other_site) m_not_current[{context.m_service->Id(), DataCentreId{}}] = context.m_now;
+}
+
+void FlowDecider::NoteFirstPacket(const FlowRecord& record) noexcept {
+  m_recent_first[m_recent_position] = record;
+  m_recent_position = (m_recent_position + 1) % m_recent_first.size();
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/flow/flow_decider_records.cc
@@ -0,0 +1,168 @@
+#include <algorithm>
+
+#include "fighatch/flow_decider.h"
+#include "flow/keeper_holders.h"
+
+namespace fighatch {
+namespace {
+
+/// Positions of the record table that one `Tick` visits: a million positions take 2.5 s at one tick each 10 ms.
+constexpr std::size_t kPositionsInTick = 4096;
+/// First packets older than this are not recorded: a caller has sent its second retransmission by then.
+constexpr std::uint32_t kRecentTicks = FlowTicks(std::chrono::seconds(4));
+/// Records of settled slots stay this long, for balancers that still use an older table.
+constexpr std::uint32_t kSettledTicks = FlowTicks(std::chrono::seconds(10));
+
+KeeperHolders HoldersBy(const ForwardingTable& table, const FlowRecord& record) {
+  const ServiceTable* service = table.FindService(record.m_service);
+  if (service == nullptr) return {};
+  const SlotOwners owners = service->Resolve(service->SlotOf(record.m_fingerprint));
+  if (owners.m_settled) return {};
+  return HoldersIn(table.Keepers(), owners.m_keeper_data_centre, record.m_fingerprint);
+}
+
+}  // namespace
+
+void FlowDecider::SetTable(std::shared_ptr<const ForwardingTable> table, TimePoint now) {
+  const std::shared_ptr<const ForwardingTable> former = std::exchange(m_table, std::move(table));
+  NoteChangedServices(former.get(), now);
+  for (const HostId host : m_transfer.Hosts()) {
+    if (m_table->Keepers().FindBalancer(host) == nullptr) m_transfer.RemoveHost(host);
+  }
+  std::erase_if(m_finished,
+                [this](const auto& entry) { return m_table->Keepers().FindBalancer(entry.first) == nullptr; });
+  if (former != nullptr) StartScan(former);
+  RecordRecentFirstPackets(now);
+}
+
+void FlowDecider::NoteChangedServices(const ForwardingTable* former, TimePoint now) {
+  std::erase_if(m_changed, [this](const auto& entry) { return m_table->FindService(entry.first) == nullptr; });
+  std::erase_if(m_not_current,
+                [this](const auto& entry) { return m_table->FindService(entry.first.first) == nullptr; });
+  for (const std::shared_ptr<const ServiceTable>& service : m_table->AllServices()) {
+    if (service->ChangingSlots() == 0) continue;
+    if (former == nullptr || former->FindService(service->Id()) != service.get()) m_changed[service->Id()] = now;
+  }
+}
+
+void FlowDecider::StartScan(const std::shared_ptr<const ForwardingTable>& former) {
+  // A transfer in progress starts again from the table by which the records were last placed.
+  if (!m_is_scanning) m_scan_base = former;
+  m_is_scanning = true;
+  m_scan_position = 0;
+}
+
+void FlowDecider::RecordRecentFirstPackets(TimePoint now) {
+  const std::uint32_t tick = FlowTick(now);
+  for (FlowRecord& record : m_recent_first) {
+    if (record.m_target.m_value == 0 || tick - record.m_last_seen > kRecentTicks) continue;
+    const ServiceTable* service = m_table->FindService(record.m_service);
+    if (service == nullptr || service->FindTarget(record.m_target) == nullptr) continue;
+    const SlotOwners owners = service->Resolve(service->SlotOf(record.m_fingerprint));
+    if (owners.m_settled || !owners.m_record_first) continue;
+    if (AddRecord(record, owners.m_keeper_data_centre, now)) record = FlowRecord{};
+  }
+}
+
+bool FlowDecider::AddRecord(const FlowRecord& record, DataCentreId keepers, TimePoint now) {
+  if (!m_records.Insert(record)) return false;
+  for (const HostId host : HoldersIn(m_table->Keepers(), keepers, record.m_fingerprint)) {
+    if (host != m_table->Self()) m_transfer.QueueNew(host, record, now);
+  }
+  return true;
+}
+
+FlowRecordsAck FlowDecider::OnRecords(const FlowRecordsMessage& message, TimePoint now) {
+  const std::uint32_t tick = FlowTick(now);
+  bool all_taken = true;
+  for (const WireFlowRecord& record : message.m_records) {
+    const std::uint32_t last_seen = record.m_age < tick ? tick - record.m_age : 0;
+    const FlowRecord held{record.m_fingerprint, record.m_target, record.m_service, last_seen};
+    if (held.m_target.m_value != 0) all_taken = m_records.Insert(held) && all_taken;
+  }
+  if (message.m_final) {
+    auto& [shards, finished] = m_finished[message.m_sender];
+    shards = message.m_shards;
+    finished.insert(message.m_shard);
+  }
+  // Sequence 0 acknowledges nothing: the sender tries again until there is room.
+  const HostId self = m_table == nullptr ? m_options.m_transfer.m_self : m_table->Self();
+  return {kFlowRecordsVersion, self, message.m_shard, all_taken ? message.m_sequence : 0};
+}
+
+std::vector<RecordSend> FlowDecider::Tick(TimePoint now) {
+  if (m_table == nullptr) return {};
+  if (m_is_scanning) {
+    Scan();
+  } else {
+    // Removal moves records between positions, so that it waits until a scan has seen all of them.
+    const std::uint32_t tick = FlowTick(now);
+    m_records.Sweep(std::min(kPositionsInTick, m_records.Positions()),
+                    [this, tick](const FlowRecord& record) { return IsExpired(record, tick); });
+  }
+  return m_transfer.Tick(now);
+}
+
+bool FlowDecider::IsExpired(const FlowRecord& record, std::uint32_t tick) const noexcept {
+  const std::uint32_t idle = tick - std::min(tick, record.m_last_seen);
+  if (idle > FlowTicks(m_options.m_idle_limit)) return true;
+  const ServiceTable* service = m_table->FindService(record.m_service);
+  if (service == nullptr || service->FindTarget(record.m_target) == nullptr) return true;
+  return idle > kSettledTicks && service->Resolve(service->SlotOf(record.m_fingerprint)).m_settled;
+}
+
+void FlowDecider::Scan() {
+  const std::size_t end = std::min(m_scan_position + kPositionsInTick, m_records.Positions());
+  for (; m_scan_position < end; ++m_scan_position) {
+    const FlowRecord* record = m_records.At(m_scan_position);
+    if (record != nullptr) TransferRecord(*record);
+  }
+  if (m_scan_position == m_records.Positions()) FinishScan();
+}
+
+void FlowDecider::TransferRecord(const FlowRecord& record) {
+  const HostId self = m_table->Self();
+  const KeeperHolders former = HoldersBy(*m_scan_base, record);
+  // One of the former holders sends: the first that is still there.
+  for (const HostId host : former) {
+    if (host == self) break;
+    if (m_table->Keepers().FindBalancer(host) != nullptr) return;
+  }
+  for (const HostId host : HoldersBy(*m_table, record)) {
+    if (host != self && !former.Has(host)) m_transfer.QueueBulk(host, record);
+  }
+}
+
+void FlowDecider::FinishScan() {
+  m_is_scanning = false;
+  m_scan_base = nullptr;
+  for (const BalancerEntry& balancer : m_table->Keepers().Joining(m_table->SelfDataCentre())) {
+    if (balancer.m_host != m_table->Self()) m_transfer.QueueFinal(balancer.m_host);
+  }
+}
+
+bool FlowDecider::HasAllRecords() const {
+  if (m_table == nullptr) return false;
+  const std::vector<BalancerEntry> keepers = m_table->Keepers().Ready(m_table->SelfDataCentre());
+  return std::all_of(keepers.begin(), keepers.end(), [this](const BalancerEntry& keeper) {
+    if (keeper.m_host == m_table->Self()) return true;
+    const auto found = m_finished.find(keeper.m_host);
+    return found != m_finished.end() && found->second.second.size() >= found->second.first;
+  });
+}
+
+std::uint32_t FlowDecider::BaseIdleSeconds(ServiceId service, DataCentreId data_centre, TimePoint now) const {
+  TimePoint last;
+  if (const auto found = m_changed.find(service); found != m_changed.end()) last = found->second;
+  if (const auto found = m_not_current.find({service, data_centre}); found != m_not_current.end()) {
+    last = std::max(last, found->second);
+  }
+  const auto idle = std::chrono::duration_cast<std::chrono::seconds>(now - last).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(idle, 0, 0xFFFFFFFF));
+}
+
+std::size_t FlowDecider::Bytes() const noexcept {
+  return m_records.Bytes() + m_silence.Bytes() + m_recent_first.size() * sizeof(FlowRecord);
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/flow/keeper_ranks.cc
@@ -0,0 +1,132 @@
+#include "fighatch/keeper_ranks.h"
+
+#include <algorithm>
+
+#include "fighatch/hash.h"
+
+namespace fighatch {
+namespace {
+
+constexpr std::uint32_t kBucketBits = 12;
+constexpr std::uint16_t kNoBalancer = 0xFFFF;
+
+/// The top bits, which the slot does not use.
+std::uint32_t BucketOf(std::uint64_t flow_hash) noexcept {
+  return static_cast<std::uint32_t>(flow_hash >> (64U - kBucketBits));
+}
+
+bool TakesPart(const Member& member) noexcept {
+  const bool present = member.m_state == MemberState::kAlive || member.m_state == MemberState::kSuspect;
+  return member.m_role == MemberRole::kBalancer && present;
+}
+
+}  // namespace
+
+KeeperRanks::KeeperRanks(std::span<const Member> members) {
+  std::vector<Member> balancers;
+  std::copy_if(members.begin(), members.end(), std::back_inserter(balancers), TakesPart);
+  std::sort(balancers.begin(), balancers.end(),
+            [](const Member& left, const Member& right) { return left.m_host.m_value < right.m_host.m_value; });
+  std::vector<DataCentreId> data_centres;
+  for (const Member& member : balancers) {
+    m_balancers.push_back(
+        {member.m_host, member.m_data_endpoint, member.m_control_endpoint, member.m_state == MemberState::kSuspect});
+    data_centres.push_back(member.m_data_centre);
+  }
+  std::sort(data_centres.begin(), data_centres.end());
+  data_centres.erase(std::unique(data_centres.begin(), data_centres.end()), data_centres.end());
+  for (const DataCentreId data_centre : data_centres) {
+    Group group{data_centre, {}, {}, {}, {}};
+    std::vector<std::uint16_t> all;
+    for (std::size_t index = 0; index < balancers.size(); ++index) {
+      if (balancers[index].m_data_centre != data_centre) continue;
+      all.push_back(static_cast<std::uint16_t>(index));
+      (balancers[index].m_keeper_ready ? group.m_ready_balancers : group.m_joining_balancers).push_back(all.back());
+    }
+    if (group.m_ready_balancers.empty()) group.m_ready_balancers.swap(group.m_joining_balancers);
+    group.m_ready = RankAll(group.m_ready_balancers, m_balancers);
+    if (!group.m_joining_balancers.empty()) group.m_prospective = RankAll(all, m_balancers);
+    m_groups.push_back(std::move(group));
+  }
+}
+
+std::vector<KeeperRanks::Ranks> KeeperRanks::RankAll(std::span<const std::uint16_t> indexes,
+                                                     const std::vector<BalancerEntry>& balancers) {
+  std::vector<Ranks> ranks(1U << kBucketBits, Ranks{kNoBalancer, kNoBalancer});
+  std::vector<std::uint64_t> seeds;
+  for (const std::uint16_t index : indexes) seeds.push_back(MixHash(balancers[index].m_host.m_value, 2));
+  for (std::uint32_t bucket = 0; bucket < ranks.size(); ++bucket) {
+    std::uint64_t first = 0;
+    std::uint64_t second = 0;
+    for (std::size_t position = 0; position < seeds.size(); ++position) {
+      const std::uint64_t hash = MixHash(seeds[position], bucket) | 1U;
+      if (hash > first) {
+        ranks[bucket] = {indexes[position], ranks[bucket][0]};
+        second = first;
+        first = hash;
+      } else if (hash > second) {
+        ranks[bucket][1] = indexes[position];
+        second = hash;
+      }
+    }
+  }
+  return ranks;
+}
+
+const KeeperRanks::Group* KeeperRanks::FindGroup(DataCentreId data_centre) const noexcept {
+  for (const Group& group : m_groups) {
+    if (group.m_data_centre == data_centre) return &group;
+  }
+  return nullptr;
+}
+
+KeeperPair KeeperRanks::PairOf(const std::vector<Ranks>& ranks, std::uint64_t flow_hash) const noexcept {
+  const Ranks& pair = ranks[BucketOf(flow_hash)];
+  return {pair[0] == kNoBalancer ? nullptr : &m_balancers[pair[0]],
+          pair[1] == kNoBalancer ? nullptr : &m_balancers[pair[1]]};
+}
+
+KeeperPair KeeperRanks::Find(DataCentreId data_centre, std::uint64_t flow_hash) const noexcept {
+  const Group* group = FindGroup(data_centre);
+  return group == nullptr ? KeeperPair{} : PairOf(group->m_ready, flow_hash);
+}
+
+KeeperPair KeeperRanks::FindProspective(DataCentreId data_centre, std::uint64_t flow_hash) const noexcept {
+  const Group* group = FindGroup(data_centre);
+  if (group == nullptr) return {};
+  return PairOf(group->m_prospective.empty() ? group->m_ready : group->m_prospective, flow_hash);
+}
+
+const BalancerEntry* KeeperRanks::FindBalancer(HostId host) const noexcept {
+  const auto found =
+      std::lower_bound(m_balancers.begin(), m_balancers.end(), host,
+                       [](const BalancerEntry& entry, HostId id) { return entry.m_host.m_value < id.m_value; });
+  return found != m_balancers.end() && found->m_host == host ? &*found : nullptr;
+}
+
+std::vector<BalancerEntry> KeeperRanks::Select(const std::vector<std::uint16_t>& indexes) const {
+  std::vector<BalancerEntry> balancers;
+  balancers.reserve(indexes.size());
+  for (const std::uint16_t index : indexes) balancers.push_back(m_balancers[index]);
+  return balancers;
+}
+
+std::vector<BalancerEntry> KeeperRanks::Ready(DataCentreId data_centre) const {
+  const Group* group = FindGroup(data_centre);
+  return group == nullptr ? std::vector<BalancerEntry>{} : Select(group->m_ready_balancers);
+}
+
+std::vector<BalancerEntry> KeeperRanks::Joining(DataCentreId data_centre) const {
+  const Group* group = FindGroup(data_centre);
+  return group == nullptr ? std::vector<BalancerEntry>{} : Select(group->m_joining_balancers);
+}
+
+std::size_t KeeperRanks::Bytes() const noexcept {
+  std::size_t bytes = m_balancers.capacity() * sizeof(BalancerEntry);
+  for (const Group& group : m_groups) {
+    bytes += sizeof(Group) + (group.m_ready.capacity() + group.m_prospective.capacity()) * sizeof(Ranks);
+  }
+  return bytes;
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/flow/service_table_builder.h
@@ -0,0 +1,87 @@
+#ifndef FIGHATCH_FLOW_SERVICE_TABLE_BUILDER_H_
+#define FIGHATCH_FLOW_SERVICE_TABLE_BUILDER_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "fighatch/forwarding_table.h"
+
+namespace fighatch {
+
+/// The owner maps of one table, each different list once.
+struct LevelMaps {
+  /// Owner of each slot; the values are indexes into targets or data centres, or `kNoOwner`.
+  std::vector<std::vector<std::uint16_t>> m_maps;
+  std::size_t m_base = 0;
+  std::size_t m_current = 0;
+  /// Equal to `m_current` unless the phase is `kLearning`.
+  std::size_t m_next = 0;
+  bool m_learning = false;
+};
+
+/// Builds the slots of one service from the tables of both levels.
+class ServiceTableBuilder {
+ public:
+  /// The part of a `ForwardingTableInput` that concerns one service.
+  struct Input {
+    const ForwardingTableInput* m_all = nullptr;
+    const Service* m_service = nullptr;
+    std::span<const OwnerTable* const> m_tables;
+    std::span<const TargetInfo* const> m_targets;
+    /// The service's present table; may be null.
+    std::shared_ptr<const ServiceTable> m_previous;
+  };
+
+  explicit ServiceTableBuilder(Input input) : m_input(std::move(input)) {}
+
+  /// The table; the previous one if it was built from equal input.
+  [[nodiscard]] std::shared_ptr<const ServiceTable> Build();
+
+ private:
+  struct Site {
+    DataCentreId m_id;
+    bool m_cut_off = false;
+    bool m_returned = false;
+    LevelMaps m_owners;
+  };
+  /// The different live owners of a slot; more than `kMaxOwners` count as changing anyway.
+  struct OwnerSet {
+    static constexpr std::size_t kMaxOwners = 4;
+    std::array<std::uint16_t, kMaxOwners> m_owners{};
+    std::size_t m_size = 0;
+    void Add(std::uint16_t owner) noexcept;
+  };
+
+  void FindShares();
+  void FindGivenUp();
+  [[nodiscard]] bool IsGivenUp(DataCentreId id) const noexcept;
+  [[nodiscard]] std::uint64_t Digest() const;
+  void AddTargets();
+  void AddSites();
+  void BuildShareMaps();
+  void BuildFallback();
+  void ChooseWidth();
+  void AddSlot(std::uint32_t slot);
+  [[nodiscard]] ServiceTable::ChangingSlot OwnersOf(std::uint32_t slot) const;
+  [[nodiscard]] bool IsSettled(std::uint32_t slot, const ServiceTable::ChangingSlot& owners) const;
+  [[nodiscard]] std::uint16_t Owner(std::uint16_t site, std::size_t LevelMaps::*list, std::uint32_t slot) const;
+  void CollectOwners(std::uint16_t site, std::uint32_t slot, OwnerSet* owners) const;
+  [[nodiscard]] std::uint16_t SiteIndex(std::uint64_t id) const noexcept;
+  [[nodiscard]] std::uint16_t TargetIndex(std::uint64_t id, DataCentreId data_centre) const noexcept;
+
+  Input m_input;
+  OwnerTable m_shares;
+  bool m_has_share_table = false;
+  std::vector<Site> m_sites;
+  LevelMaps m_share_maps;
+  /// Owners by `current` among the reachable data centres; empty if all can be reached.
+  std::vector<std::uint16_t> m_fallback;
+  std::shared_ptr<ServiceTable> m_table;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_FLOW_SERVICE_TABLE_BUILDER_H_
--- /dev/null
+++ b/tests/flow_decider_test.cc
@@ -0,0 +1,285 @@
+#include <gtest/gtest.h>
+
+#include "flow_test_support.h"
+
+namespace fighatch {
+namespace {
+
+/// One data centre with two targets and a join of a third, which takes about a third of the slots.
+struct JoinWorld : FlowWorld {
+  explicit JoinWorld(std::uint32_t balancers = 1) {
+    AddDataCentre(1);
+    AddService(1, {1});
+    AddTarget(1, 1, 1);
+    AddTarget(1, 1, 2);
+    for (std::uint32_t host = 1; host <= balancers; ++host) AddBalancer(host, 1);
+    const TargetId joined = AddTarget(1, 1, 3, false);
+    m_next = Table(1, 1).m_current;
+    m_next.push_back({joined.m_value, 16});
+  }
+  void Learn() { ASSERT_TRUE(BeginLearning(&Table(1, 1), m_next)); }
+  void Move() { BeginMoving(&Table(1, 1)); }
+  /// A flow whose slot moves to the joined target and whose keepers satisfy the condition.
+  template <typename Condition>
+  [[nodiscard]] std::uint32_t MovingFlow(const Condition& condition, std::uint32_t from = 0) {
+    JoinWorld moved = *this;
+    if (moved.Table(1, 1).m_phase == TransitionPhase::kSettled) {
+      moved.Learn();
+      moved.Move();
+    }
+    const auto table = moved.Build(1, 1);
+    const ServiceTable* service = table->FindService(ServiceId{1});
+    for (std::uint32_t number = from;; ++number) {
+      const std::uint64_t hash = PacketOf(number, PacketKind::kFirst).m_flow_hash;
+      const KeeperPair keepers = table->Keepers().Find(DataCentreId{1}, hash);
+      if (!service->Resolve(service->SlotOf(hash)).m_settled && condition(keepers)) return number;
+    }
+  }
+  [[nodiscard]] std::uint32_t MovingFlow(std::uint32_t from = 0) {
+    return MovingFlow([](const KeeperPair&) { return true; }, from);
+  }
+  std::vector<OwnerEntry> m_next;
+};
+
+constexpr TargetId kJoined{1103};
+
+bool KeptBy(const KeeperPair& pair, std::uint32_t first, std::uint32_t second) {
+  return pair.m_first->m_host.m_value == first && pair.m_second->m_host.m_value == second;
+}
+
+// Guards against wrong owners in the two phases of a transition.
+TEST(FlowDeciderTest, OpensAtBaseWhileLearningAndAtTheNewestWhileMoving) {
+  JoinWorld world;
+  FlowDecider decider(OptionsOf(1));
+  decider.SetContact(FreshContact(AtMs(0)));
+  const std::uint32_t in_learning = world.MovingFlow();
+  const std::uint32_t in_moving = world.MovingFlow(in_learning + 1);
+  const std::uint32_t established = world.MovingFlow(in_moving + 1);
+  world.Learn();
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  const Decision learned = decider.Decide(PacketOf(in_learning, PacketKind::kFirst), AtMs(0));
+  ASSERT_EQ(learned.m_kind, DecisionKind::kTarget);
+  EXPECT_NE(learned.m_target, kJoined);
+  world.Move();
+  decider.SetTable(world.Build(1, 1), AtMs(1000));
+  EXPECT_EQ(decider.Decide(PacketOf(in_learning, PacketKind::kFirst), AtMs(1000)).m_target, learned.m_target);
+  EXPECT_EQ(decider.Decide(PacketOf(in_moving, PacketKind::kFirst), AtMs(1000)).m_target, kJoined);
+  EXPECT_EQ(decider.Decide(PacketOf(in_moving, PacketKind::kLater), AtMs(1000)).m_target, kJoined);
+  EXPECT_NE(decider.Decide(PacketOf(established, PacketKind::kLater), AtMs(1000)).m_target, kJoined);
+}
+
+// Guards against a first packet that was sent just before the change and whose retransmission comes in phase `moving`.
+TEST(FlowDeciderTest, ARetransmittedFirstPacketFromBeforeTheChangeKeepsItsTarget) {
+  JoinWorld world;
+  FlowDecider decider(OptionsOf(1));
+  decider.SetContact(FreshContact(AtMs(0)));
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  const std::uint32_t flow = world.MovingFlow();
+  const TargetId target = decider.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(100)).m_target;
+  world.Learn();
+  decider.SetTable(world.Build(1, 1), AtMs(200));
+  world.Move();
+  decider.SetTable(world.Build(1, 1), AtMs(1200));
+  decider.SetContact(FreshContact(AtMs(1200)));
+  EXPECT_EQ(decider.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(1300)).m_target, target);
+}
+
+// Guards against UDP flows that move although they were active in phase `learning`.
+TEST(FlowDeciderTest, AnActiveUdpFlowStays) {
+  JoinWorld world;
+  FlowDecider decider(OptionsOf(1));
+  decider.SetContact(FreshContact(AtMs(0)));
+  world.Learn();
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  std::vector<TargetId> targets;
+  for (std::uint32_t flow = 0; flow < 100; ++flow) {
+    targets.push_back(decider.Decide(PacketOf(flow, PacketKind::kDatagram), AtMs(10)).m_target);
+  }
+  world.Move();
+  decider.SetTable(world.Build(1, 1), AtMs(1000));
+  for (std::uint32_t flow = 0; flow < 100; ++flow) {
+    EXPECT_EQ(decider.Decide(PacketOf(flow, PacketKind::kDatagram), AtMs(1010)).m_target, targets[flow]);
+  }
+}
+
+// Guards against the loss of a flow with its keeper: the second keeper has the record and takes over while the keeper
+// is only suspect.
+TEST(FlowDeciderTest, TheSecondKeeperTakesOver) {
+  JoinWorld world(3);
+  world.Learn();
+  world.Move();
+  const std::uint32_t flow = world.MovingFlow([](const KeeperPair& pair) { return KeptBy(pair, 1, 2); });
+  FlowDecider keeper(OptionsOf(1));
+  FlowDecider second(OptionsOf(2));
+  FlowDecider other(OptionsOf(3));
+  for (auto [decider, host] : {std::pair(&keeper, 1U), {&second, 2U}, {&other, 3U}}) {
+    decider->SetTable(world.Build(host, 1), AtMs(0));
+    decider->SetContact(FreshContact(AtMs(0)));
+  }
+  Decision decision = other.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(1));
+  EXPECT_EQ(decision.m_balancer, HostId{1});
+  EXPECT_EQ(decision.m_reason, ForwardReason::kKeeper);
+  EXPECT_EQ(keeper.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(2)).m_target, kJoined);
+  const auto sends = keeper.Tick(AtMs(20));
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends[0].m_host, HostId{2});
+  keeper.OnAck(second.OnRecords(sends[0].m_message, AtMs(21)));
+  EXPECT_TRUE(keeper.Tick(AtMs(500)).empty());
+
+  world.MemberOf(1).m_state = MemberState::kSuspect;
+  other.SetTable(world.Build(3, 1), AtMs(600));
+  decision = other.Decide(PacketOf(flow, PacketKind::kLater), AtMs(601));
+  EXPECT_EQ(decision.m_balancer, HostId{2});
+  EXPECT_EQ(decision.m_reason, ForwardReason::kSecondKeeper);
+  EXPECT_EQ(second.Decide(PacketOf(flow, PacketKind::kLater), AtMs(602)).m_target, kJoined);
+}
+
+// Guards against records that do not reach a joining balancer before it becomes a keeper.
+TEST(FlowDeciderTest, AJoiningBalancerGetsTheRecordsThatItWillKeep) {
+  JoinWorld world(2);
+  world.Learn();
+  world.Move();
+  FlowDecider keeper(OptionsOf(1));
+  keeper.SetTable(world.Build(1, 1), AtMs(0));
+  keeper.SetContact(FreshContact(AtMs(0)));
+  std::vector<std::uint32_t> flows;
+  for (std::uint32_t flow = 0; flow < 600; ++flow) {
+    const Decision decision = keeper.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(0));
+    if (decision.m_kind == DecisionKind::kTarget && decision.m_target == kJoined) flows.push_back(flow);
+  }
+  ASSERT_FALSE(flows.empty());
+  static_cast<void>(keeper.Tick(AtMs(10)));
+  world.AddBalancer(3, 1, false);
+  FlowDecider joining(OptionsOf(3));
+  joining.SetTable(world.Build(3, 1), AtMs(100));
+  joining.SetContact(FreshContact(AtMs(100)));
+  keeper.SetTable(world.Build(1, 1), AtMs(100));
+  EXPECT_FALSE(joining.HasAllRecords());
+  for (int ms = 100; ms < 2000; ms += 10) {
+    for (const RecordSend& send : keeper.Tick(AtMs(ms))) {
+      if (send.m_host == HostId{3}) keeper.OnAck(joining.OnRecords(send.m_message, AtMs(ms)));
+    }
+  }
+  EXPECT_FALSE(joining.HasAllRecords()) << "balancer 2 has not finished";
+  world.MemberOf(3).m_keeper_ready = true;
+  const auto ready = world.Build(3, 1);
+  for (const std::uint32_t flow : flows) {
+    const Packet packet = PacketOf(flow, PacketKind::kLater);
+    if (!ready->Keepers().Find(DataCentreId{1}, packet.m_flow_hash).Has(HostId{3})) continue;
+    EXPECT_EQ(joining.Decide(packet, AtMs(2000)).m_target, kJoined);
+  }
+}
+
+// Guards against a balancer with an old table that opens or continues flows by it while a fresh one can be reached.
+TEST(FlowDeciderTest, AStaleBalancerAsksAFreshPeer) {
+  JoinWorld world(2);
+  FlowDecider decider(OptionsOf(1));
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  decider.SetContact(FreshContact(AtMs(0), 2));
+  EXPECT_EQ(decider.Decide(PacketOf(1, PacketKind::kFirst), AtMs(900)).m_kind, DecisionKind::kTarget);
+  const Decision decision = decider.Decide(PacketOf(1, PacketKind::kFirst), AtMs(1100));
+  EXPECT_EQ(decision.m_kind, DecisionKind::kBalancer);
+  EXPECT_EQ(decision.m_reason, ForwardReason::kStaleTable);
+  Packet sent_on = PacketOf(1, PacketKind::kFirst);
+  sent_on.m_reason = ForwardReason::kStaleTable;
+  sent_on.m_hop_count = 1;
+  EXPECT_EQ(decider.Decide(sent_on, AtMs(1100)).m_kind, DecisionKind::kTarget);
+  decider.SetContact(FreshContact(AtMs(0)));
+  EXPECT_EQ(decider.Decide(PacketOf(1, PacketKind::kFirst), AtMs(1100)).m_kind, DecisionKind::kTarget);
+}
+
+// Guards against an idle time that makes the coordinator retire a base that was never observed.
+TEST(FlowDeciderTest, BaseIdleTimeStartsWithTheChange) {
+  JoinWorld world;
+  FlowDecider decider(OptionsOf(1));
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  const std::uint32_t flow = world.MovingFlow();
+  world.Learn();
+  decider.SetTable(world.Build(1, 1), AtMs(500'000));
+  world.Move();
+  decider.SetTable(world.Build(1, 1), AtMs(501'000));
+  EXPECT_EQ(decider.BaseIdleSeconds(ServiceId{1}, DataCentreId{1}, AtMs(503'000)), 2U);
+  decider.SetContact(FreshContact(AtMs(504'000)));
+  static_cast<void>(decider.Decide(PacketOf(flow, PacketKind::kLater), AtMs(504'000)));
+  EXPECT_EQ(decider.BaseIdleSeconds(ServiceId{1}, DataCentreId{1}, AtMs(510'000)), 6U);
+}
+
+// Guards against packets for other data centres from a balancer that may have missed their being taken out (P4), and
+// against flows that are dropped together with a service that does not exist.
+TEST(FlowDeciderTest, AnIsolatedBalancerServesItsOwnDataCentreOnly) {
+  FlowWorld world;
+  world.AddDataCentre(1);
+  world.AddDataCentre(2);
+  world.AddService(1, {1, 2});
+  world.AddTarget(1, 1, 1);
+  world.AddTarget(1, 2, 1);
+  world.AddBalancer(1, 1);
+  FlowDecider decider(OptionsOf(1));
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  decider.SetContact(FreshContact(AtMs(0)));
+  std::size_t dropped = 0;
+  for (std::uint32_t flow = 0; flow < 100; ++flow) {
+    const Decision before = decider.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(2900));
+    ASSERT_EQ(before.m_kind, DecisionKind::kTarget);
+    const Decision after = decider.Decide(PacketOf(flow, PacketKind::kLater), AtMs(3100));
+    const bool is_remote = before.m_target == TargetId{1201};
+    EXPECT_EQ(after.m_code, is_remote ? ErrorCode::kPacketNoTarget : ErrorCode::kOk);
+    dropped += is_remote ? 1 : 0;
+  }
+  EXPECT_GT(dropped, 0U);
+  EXPECT_EQ(decider.Decide(PacketOf(1, PacketKind::kFirst, 9), AtMs(0)).m_code, ErrorCode::kPacketUnknownService);
+}
+
+// Guards against flows of a cut-off data centre that are moved, and against new flows that fail while others serve.
+TEST(FlowDeciderTest, FirstPacketsForACutOffDataCentreOpenAtReachableOnes) {
+  FlowWorld world;
+  world.AddDataCentre(1);
+  world.AddDataCentre(2);
+  world.AddService(1, {1, 2});
+  world.AddTarget(1, 1, 1);
+  world.AddTarget(1, 2, 1);
+  world.AddBalancer(1, 1);
+  FlowDecider decider(OptionsOf(1));
+  decider.SetTable(world.Build(1, 1), AtMs(0));
+  decider.SetContact(FreshContact(AtMs(0)));
+  std::uint32_t flow = 0;
+  while (decider.Decide(PacketOf(flow, PacketKind::kFirst), AtMs(0)).m_target != TargetId{1201}) ++flow;
+  std::uint32_t next = flow + 1;
+  while (decider.Decide(PacketOf(next, PacketKind::kFirst), AtMs(0)).m_target != TargetId{1201}) ++next;
+  world.m_cut_off = {DataCentreId{2}};
+  decider.SetTable(world.Build(1, 1), AtMs(10'000));
+  decider.SetContact(FreshContact(AtMs(10'000)));
+  EXPECT_EQ(decider.Decide(PacketOf(flow, PacketKind::kLater), AtMs(10'000)).m_code, ErrorCode::kPacketNoTarget);
+  EXPECT_EQ(decider.Decide(PacketOf(next, PacketKind::kFirst), AtMs(10'000)).m_target, TargetId{1101});
+  EXPECT_EQ(decider.Decide(PacketOf(next, PacketKind::kLater), AtMs(10'001)).m_target, TargetId{1101});
+  world.m_cut_off.clear();
+  world.m_returned = {DataCentreId{2}};
+  decider.SetTable(world.Build(1, 1), AtMs(10'500));
+  EXPECT_EQ(decider.Decide(PacketOf(next, PacketKind::kLater), AtMs(10'500)).m_target, TargetId{1101});
+  EXPECT_EQ(decider.Decide(PacketOf(flow, PacketKind::kLater), AtMs(10'500)).m_target, TargetId{1201});
+}
+
+// Guards against a silent flow that is never given a way forward (P12), and against a reset of flows that send
+// keep-alives or whose target answers nobody.
+TEST(SilenceDetectorTest, ResetsAFlowThatRepeatsWhileOthersProgress) {
+  SilenceDetector detector;
+  const auto segment = [](std::uint32_t flow, std::uint32_t sequence, std::uint32_t bytes) {
+    Packet packet = PacketOf(flow, PacketKind::kLater);
+    packet.m_tcp.m_sequence = sequence;
+    packet.m_payload_bytes = bytes;
+    return packet;
+  };
+  bool silent = false;
+  for (int ms = 0; ms <= 8000; ms += 1000) silent |= detector.IsSilent(segment(1, 5, 100), TargetId{1}, AtMs(ms));
+  EXPECT_FALSE(silent) << "no other flow makes progress";
+  for (std::uint32_t sequence = 1; sequence < 4; ++sequence) {
+    EXPECT_FALSE(detector.IsSilent(segment(2, sequence, 100), TargetId{1}, AtMs(8500)));
+  }
+  EXPECT_TRUE(detector.IsSilent(segment(1, 5, 100), TargetId{1}, AtMs(9000)));
+  for (int ms = 9000; ms <= 20000; ms += 1000) {
+    EXPECT_FALSE(detector.IsSilent(segment(3, 7, 1), TargetId{1}, AtMs(ms)));
+  }
+}
+
+}  // namespace
+}  // namespace fighatch
--- /dev/null
+++ b/tests/flow_table_test.cc
@@ -0,0 +1,182 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "fighatch/hash.h"
+#include "fighatch/slot_table.h"
+#include "flow_test_support.h"
+
+namespace fighatch {
+namespace {
+
+constexpr std::uint32_t kSlots = 16384;
+
+std::vector<OwnerEntry> Owners(std::uint64_t count, std::uint16_t weight) {
+  std::vector<OwnerEntry> owners;
+  for (std::uint64_t id = 1; id <= count; ++id) owners.push_back({id * 7919, weight});
+  return owners;
+}
+
+std::vector<std::uint64_t> IdsOf(const std::vector<OwnerEntry>& owners) {
+  std::vector<std::uint64_t> ids;
+  for (const std::uint16_t index : OwnersOfSlots(owners, kSlots)) ids.push_back(owners[index].m_id);
+  return ids;
+}
+
+// Guards against a hash that moves slots between owners that did not change.
+TEST(SlotTableTest, AChangeMovesSlotsOnlyToOrFromTheChangedOwner) {
+  const std::vector<OwnerEntry> before = Owners(15, 16);
+  std::vector<OwnerEntry> heavier = before;
+  heavier[3].m_weight = 24;
+  std::vector<OwnerEntry> fewer = before;
+  fewer.erase(fewer.begin() + 5);
+  const auto old_ids = IdsOf(before);
+  const auto heavier_ids = IdsOf(heavier);
+  const auto fewer_ids = IdsOf(fewer);
+  for (std::uint32_t slot = 0; slot < kSlots; ++slot) {
+    if (heavier_ids[slot] != old_ids[slot]) {
+      EXPECT_EQ(heavier_ids[slot], before[3].m_id);
+    }
+    if (fewer_ids[slot] != old_ids[slot]) {
+      EXPECT_EQ(old_ids[slot], before[5].m_id);
+    }
+  }
+}
+
+// Guards against shares that do not follow the weights.
+TEST(SlotTableTest, SharesFollowTheWeights) {
+  std::vector<OwnerEntry> owners = Owners(6, 16);
+  owners[0].m_weight = 2;
+  owners[1].m_weight = 8;
+  owners[2].m_weight = 0;
+  std::map<std::uint64_t, int> counts;
+  for (const std::uint64_t id : IdsOf(owners)) ++counts[id];
+  const double unit = kSlots / (2 + 8 + 3 * 16.0);
+  EXPECT_NEAR(counts[owners[0].m_id] / (2 * unit), 1, 0.2);
+  EXPECT_NEAR(counts[owners[1].m_id] / (8 * unit), 1, 0.1);
+  EXPECT_EQ(counts[owners[2].m_id], 0);
+  EXPECT_NEAR(counts[owners[5].m_id] / (16 * unit), 1, 0.1);
+}
+
+// Guards against hosts that disagree because their lists are in another order, and against drift of the function
+// between versions, which would move every flow: the digest is fixed.
+TEST(SlotTableTest, IsTheSameOnEveryHost) {
+  std::vector<OwnerEntry> owners = Owners(9, 16);
+  owners[4].m_weight = 5;
+  const auto ids = IdsOf(owners);
+  std::reverse(owners.begin(), owners.end());
+  EXPECT_EQ(IdsOf(owners), ids);
+  for (std::uint32_t slot = 0; slot < 100; ++slot) EXPECT_EQ(owners[SlotOwner(owners, slot)].m_id, ids[slot]);
+  EXPECT_EQ(SlotOwner({}, 3), kNoOwner);
+  std::uint64_t digest = 0;
+  for (const std::uint64_t id : ids) digest = MixHash(digest, id);
+  EXPECT_EQ(digest, 5240930524470819768U);
+}
+
+FlowWorld TwoServices() {
+  FlowWorld world;
+  world.AddDataCentre(1);
+  world.AddDataCentre(2);
+  for (std::uint32_t service : {1U, 2U}) {
+    world.AddService(service, {1, 2});
+    for (std::uint16_t data_centre : {std::uint16_t{1}, std::uint16_t{2}}) {
+      for (std::uint32_t number = 1; number <= 3; ++number) world.AddTarget(service, data_centre, number);
+    }
+  }
+  world.AddBalancer(1, 1);
+  return world;
+}
+
+// Guards against delivery to another service (P2): an owner list that names a target of another service by mistake
+// yields no owner.
+TEST(ForwardingTableTest, NeverNamesATargetOfAnotherService) {
+  FlowWorld world = TwoServices();
+  OwnerTable& table = world.Table(1, 1);
+  table.m_current.push_back({2101, 64});
+  table.m_base = table.m_current;
+  const auto built = world.Build(1, 1);
+  const ServiceTable* service = built->FindService(ServiceId{1});
+  std::uint32_t without_owner = 0;
+  for (std::uint32_t slot = 0; slot < service->Slots(); ++slot) {
+    const SlotOwners owners = service->Resolve(slot);
+    without_owner += owners.m_current == nullptr ? 1 : 0;
+    if (owners.m_current != nullptr) {
+      EXPECT_EQ(owners.m_current->m_service, ServiceId{1});
+    }
+  }
+  EXPECT_GT(without_owner, 0U);
+}
+
+// Guards against look-ups that ignore the protocol or the port.
+TEST(ForwardingTableTest, FindsAServiceByAddressProtocolAndPort) {
+  const auto built = TwoServices().Build(1, 1);
+  EXPECT_EQ(built->FindService(FlowWorld::ServiceAt(2), Transport::kUdp)->Id(), ServiceId{2});
+  Endpoint other = FlowWorld::ServiceAt(2);
+  other.m_port = 81;
+  EXPECT_EQ(built->FindService(other, Transport::kTcp), nullptr);
+}
+
+// Guards against flows that break when a slot moves away and back before the base retires: base and current are equal,
+// but the owner between them holds flows.
+TEST(ForwardingTableTest, ASlotThatMovedAwayAndBackStaysInTransition) {
+  FlowWorld world = TwoServices();
+  OwnerTable& table = world.Table(1, 1);
+  const std::vector<OwnerEntry> start = table.m_current;
+  const TargetId joined = world.AddTarget(1, 1, 9, false);
+  std::vector<OwnerEntry> next = start;
+  next.push_back({joined.m_value, 16});
+  ASSERT_TRUE(BeginLearning(&table, next));
+  BeginMoving(&table);
+  const auto moved = world.Build(1, 1);
+  ASSERT_TRUE(BeginLearning(&table, start));
+  BeginMoving(&table);
+  const auto back = world.Build(1, 1);
+  EXPECT_GT(moved->FindService(ServiceId{1})->ChangingSlots(), 0U);
+  EXPECT_EQ(back->FindService(ServiceId{1})->ChangingSlots(), moved->FindService(ServiceId{1})->ChangingSlots());
+  RetireBase(&table);
+  EXPECT_EQ(world.Build(1, 1)->FindService(ServiceId{1})->ChangingSlots(), 0U);
+}
+
+// Guards against packets for a data centre that is out (P4), and against a surge at its return before the region
+// coordinator has written a new table.
+TEST(ForwardingTableTest, ADataCentreThatIsOutOwnsNothingUntilANewTable) {
+  FlowWorld world = TwoServices();
+  OwnerTable& shares = world.Table(1, 0);
+  shares.m_version = {1, 1};
+  shares.m_current = {{1, 1}, {2, 1}};
+  shares.m_base = shares.m_current;
+  const auto owned_by_two = [](const ForwardingTable& table) {
+    std::uint32_t count = 0;
+    const ServiceTable* service = table.FindService(ServiceId{1});
+    for (std::uint32_t slot = 0; slot < service->Slots(); ++slot) {
+      const SlotOwners owners = service->Resolve(slot);
+      EXPECT_TRUE(owners.m_settled);
+      if (owners.m_current->m_data_centre == DataCentreId{2}) ++count;
+    }
+    return count;
+  };
+  const auto before = world.Build(1, 1);
+  EXPECT_GT(owned_by_two(*before), 0U);
+  world.m_state.m_data_centres["dc2"].m_state = DataCentreState::kOut;
+  const auto out = world.Build(1, 1, before.get());
+  EXPECT_EQ(owned_by_two(*out), 0U);
+  world.m_state.m_data_centres["dc2"].m_state = DataCentreState::kIn;
+  const auto in = world.Build(1, 1, out.get());
+  EXPECT_EQ(owned_by_two(*in), 0U);
+  world.Table(1, 0).m_version = {1, 2};
+  EXPECT_GT(owned_by_two(*world.Build(1, 1, in.get())), 0U);
+}
+
+// Guards against a rebuild of every service when one changes: 10,000 services would take seconds.
+TEST(ForwardingTableTest, SharesUnchangedServices) {
+  FlowWorld world = TwoServices();
+  const auto before = world.Build(1, 1);
+  world.Table(1, 1).m_current.pop_back();
+  const auto after = world.Build(1, 1, before.get());
+  EXPECT_NE(after->FindService(ServiceId{1}), before->FindService(ServiceId{1}));
+  EXPECT_EQ(after->FindService(ServiceId{2}), before->FindService(ServiceId{2}));
+}
+
+}  // namespace
+}  // namespace fighatch
