--- a/include/fighatch/flow_decider.h
+++ b/include/fighatch/flow_decider.h
@@ -90,6 +90,12 @@
   [[nodiscard]] std::size_t Bytes() const noexcept;
 
  private:
+  struct FinishedTransfer {
+    std::uint64_t m_keepers_digest = 0;
+    /// Shards of the sender, and those that have finished.
+    std::uint16_t m_shards = 1;
+    std::set<std::uint16_t> m_finished_shards;
+  };
   struct Context {
     const Packet* m_packet;
     const ServiceTable* m_service;
@@ -108,14 +114,15 @@
   [[nodiscard]] const TargetEntry* RecordedTarget(const Context& context);
   void NoteNotCurrent(const Context& context, const SlotOwners& owners, const TargetEntry& target);
 
-  void NoteFirstPacket(const FlowRecord& record) noexcept;
+  /// Remembers a packet that was forwarded without a record.
+  void NoteUnrecorded(const Context& context, const TargetEntry& target) noexcept;
   [[nodiscard]] bool AddRecord(const FlowRecord& record, DataCentreId keepers, TimePoint now);
-  void RecordRecentFirstPackets(TimePoint now);
+  void RecordRecentFlows(std::vector<FlowRecord>* recent, TimePoint now);
   void NoteChangedServices(const ForwardingTable* former, TimePoint now);
   void StartScan(const std::shared_ptr<const ForwardingTable>& former);
   void Scan();
   void FinishScan();
-  void TransferRecord(const FlowRecord& record);
+  void TransferRecord(const FlowRecord& record, bool same_ranks);
   [[nodiscard]] bool IsExpired(const FlowRecord& record, std::uint32_t tick) const noexcept;
 
   FlowDeciderOptions m_options;
@@ -128,14 +135,16 @@
   /// retransmission does not open the flow again elsewhere.
   std::vector<FlowRecord> m_recent_first;
   std::size_t m_recent_position = 0;
+  /// Active UDP flows without a record, by fingerprint; a later flow replaces an earlier one in the same place.
+  std::vector<FlowRecord> m_recent_udp;
   /// The table by which the records were last placed on keepers; null if no transfer is in progress.
   std::shared_ptr<const ForwardingTable> m_scan_base;
   std::size_t m_scan_position = 0;
   bool m_is_scanning = false;
   std::map<ServiceId, TimePoint> m_changed;
   std::map<std::pair<ServiceId, DataCentreId>, TimePoint> m_not_current;
-  /// Shards of other balancers that have finished their transfer to this one, with their number of shards.
-  std::map<HostId, std::pair<std::uint16_t, std::set<std::uint16_t>>> m_finished;
+  /// Transfers of other balancers to this one that are finished.
+  std::map<HostId, FinishedTransfer> m_finished;
 };
 
 }  // namespace fighatch
--- a/include/fighatch/flow_records_message.h
+++ b/include/fighatch/flow_records_message.h
@@ -43,13 +43,16 @@
   std::uint64_t m_sequence = 0;
   /// True for the last batch of a transfer to a joining balancer.
   bool m_final = false;
+  /// With `m_final`: digest of the keepers that the sender knew of. The transfer counts only if the receiver knows the
+  /// same: the records of a keeper that died meanwhile are sent again by the second keeper.
+  std::uint64_t m_keepers_digest = 0;
   std::vector<WireFlowRecord> m_records;
 
   friend bool operator==(const FlowRecordsMessage&, const FlowRecordsMessage&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_version, m_sender, m_shard, m_shards, m_sequence, m_final, m_records);
+    archive(m_version, m_sender, m_shard, m_shards, m_sequence, m_final, m_keepers_digest, m_records);
   }
 };
 
--- a/include/fighatch/keeper_ranks.h
+++ b/include/fighatch/keeper_ranks.h
@@ -51,6 +51,10 @@
   [[nodiscard]] std::vector<BalancerEntry> Ready(DataCentreId data_centre) const;
   /// The balancers of a data centre that wait for records while others are ready.
   [[nodiscard]] std::vector<BalancerEntry> Joining(DataCentreId data_centre) const;
+  /// Digest of the ready balancers of a data centre.
+  [[nodiscard]] std::uint64_t ReadyDigest(DataCentreId data_centre) const noexcept;
+  /// Digest of all ranks: equal if every flow has the same keepers, now and prospectively.
+  [[nodiscard]] std::uint64_t Digest() const noexcept;
   [[nodiscard]] std::size_t Bytes() const noexcept;
 
  private:
@@ -67,6 +71,7 @@
 
   [[nodiscard]] const Group* FindGroup(DataCentreId data_centre) const noexcept;
   [[nodiscard]] std::vector<BalancerEntry> Select(const std::vector<std::uint16_t>& indexes) const;
+  [[nodiscard]] std::uint64_t DigestOf(const std::vector<std::uint16_t>& indexes) const noexcept;
   [[nodiscard]] KeeperPair PairOf(const std::vector<Ranks>& ranks, std::uint64_t flow_hash) const noexcept;
   [[nodiscard]] static std::vector<Ranks> RankAll(std::span<const std::uint16_t> indexes,
                                                   const std::vector<BalancerEntry>& balancers);
--- a/include/fighatch/record_transfer.h
+++ b/include/fighatch/record_transfer.h
@@ -44,7 +44,7 @@
   /// Queues a record that a balancer takes over.
   void QueueBulk(HostId host, const FlowRecord& record);
   /// Queues the mark that ends a bulk transfer.
-  void QueueFinal(HostId host);
+  void QueueFinal(HostId host, std::uint64_t keepers_digest);
   /// Forgets what is queued for a balancer that is gone.
   void RemoveHost(HostId host);
   /// Handles an acknowledgement.
@@ -70,6 +70,7 @@
     TimePoint m_oldest_new;
     std::deque<FlowRecord> m_bulk;
     bool m_final = false;
+    std::uint64_t m_keepers_digest = 0;
     std::map<std::uint64_t, InFlight> m_in_flight;
 
     [[nodiscard]] std::size_t BulkInFlight() const noexcept;
--- a/include/fighatch/transition.h
+++ b/include/fighatch/transition.h
@@ -11,7 +11,8 @@
 /// Lists between `base` and `current` that a table carries at most; a further change waits until the base retires.
 inline constexpr std::size_t kMaxPastLists = 8;
 
-/// Starts phase `kLearning` towards `next`. Lists that may hold flows are kept. False, with the table unchanged, if the
+/// Starts phase `kLearning` towards `next`, or replaces `next` in that phase, which must then last its full time again.
+/// Lists that may hold flows are kept. False, with the table unchanged, if the
 /// table has no room for a further past list.
 [[nodiscard]] bool BeginLearning(OwnerTable* table, std::vector<OwnerEntry> next);
 
--- a/src/flow/flow_decider.cc
+++ b/src/flow/flow_decider.cc
@@ -11,6 +11,8 @@
 /// 4,000 first packets a second are remembered for 4 s by one shard: longer than a caller's second retransmission
 /// takes.
 constexpr std::size_t kRecentFirstPackets = 16384;
+/// Active UDP flows of one shard that are remembered, less those that share a place.
+constexpr std::size_t kRecentUdpFlows = 16384;
 
 Decision Drop(const ServiceTable* service, ErrorCode code) noexcept {
   Decision decision;
@@ -29,7 +31,8 @@
     : m_options(options),
       m_records(options.m_record_capacity),
       m_transfer(options.m_transfer),
-      m_recent_first(kRecentFirstPackets) {}
+      m_recent_first(kRecentFirstPackets),
+      m_recent_udp(kRecentUdpFlows) {}
 
 Decision FlowDecider::Decide(const Packet& packet, TimePoint now) {
   const ServiceTable* service =
@@ -59,9 +62,7 @@
     const TargetEntry* recorded = RecordedTarget(context);
     if (recorded != nullptr) return SendToTarget(context, *recorded);
   }
-  if (context.m_packet->m_kind == PacketKind::kFirst) {
-    NoteFirstPacket({context.m_packet->m_flow_hash, owner.m_id, context.m_service->Id(), FlowTick(context.m_now)});
-  }
+  NoteUnrecorded(context, owner);
   return SendToTarget(context, owner);
 }
 
@@ -111,12 +112,12 @@
 Decision FlowDecider::OpenFlow(const Context& context, const SlotOwners& owners) {
   const TargetEntry* target = owners.m_current;
   if (target == nullptr) return Drop(context.m_service, ErrorCode::kPacketNoTarget);
-  const FlowRecord record{context.m_packet->m_flow_hash, target->m_id, context.m_service->Id(),
-                          FlowTick(context.m_now)};
   if (!owners.m_record_first) {
-    NoteFirstPacket(record);
+    NoteUnrecorded(context, *target);
     return SendToTarget(context, *target);
   }
+  const FlowRecord record{context.m_packet->m_flow_hash, target->m_id, context.m_service->Id(),
+                          FlowTick(context.m_now)};
   // Without a record later packets would go to the base owner, so that a full table refuses the flow, not its rest.
   if (!AddRecord(record, owners.m_keeper_data_centre, context.m_now)) {
     return Drop(context.m_service, ErrorCode::kPacketNoRecordSpace);
@@ -186,7 +187,14 @@
   if (other_site) m_not_current[{context.m_service->Id(), DataCentreId{}}] = context.m_now;
 }
 
-void FlowDecider::NoteFirstPacket(const FlowRecord& record) noexcept {
+void FlowDecider::NoteUnrecorded(const Context& context, const TargetEntry& target) noexcept {
+  const Packet& packet = *context.m_packet;
+  if (packet.m_kind == PacketKind::kLater) return;
+  const FlowRecord record{packet.m_flow_hash, target.m_id, target.m_service, FlowTick(context.m_now)};
+  if (packet.m_kind == PacketKind::kDatagram) {
+    m_recent_udp[(packet.m_flow_hash >> 32U) % m_recent_udp.size()] = record;
+    return;
+  }
   m_recent_first[m_recent_position] = record;
   m_recent_position = (m_recent_position + 1) % m_recent_first.size();
 }
--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -13,12 +13,12 @@
 /// Records of settled slots stay this long, for balancers that still use an older table.
 constexpr std::uint32_t kSettledTicks = FlowTicks(std::chrono::seconds(10));
 
-KeeperHolders HoldersBy(const ForwardingTable& table, const FlowRecord& record) {
+KeeperHolders HoldersBy(const ForwardingTable& table, const FlowRecord& record, bool with_joining) {
   const ServiceTable* service = table.FindService(record.m_service);
   if (service == nullptr) return {};
   const SlotOwners owners = service->Resolve(service->SlotOf(record.m_fingerprint));
   if (owners.m_settled) return {};
-  return HoldersIn(table.Keepers(), owners.m_keeper_data_centre, record.m_fingerprint);
+  return HoldersIn(table.Keepers(), owners.m_keeper_data_centre, record.m_fingerprint, with_joining);
 }
 
 }  // namespace
@@ -32,7 +32,8 @@
   std::erase_if(m_finished,
                 [this](const auto& entry) { return m_table->Keepers().FindBalancer(entry.first) == nullptr; });
   if (former != nullptr) StartScan(former);
-  RecordRecentFirstPackets(now);
+  RecordRecentFlows(&m_recent_first, now);
+  RecordRecentFlows(&m_recent_udp, now);
 }
 
 void FlowDecider::NoteChangedServices(const ForwardingTable* former, TimePoint now) {
@@ -52,9 +53,9 @@
   m_scan_position = 0;
 }
 
-void FlowDecider::RecordRecentFirstPackets(TimePoint now) {
+void FlowDecider::RecordRecentFlows(std::vector<FlowRecord>* recent, TimePoint now) {
   const std::uint32_t tick = FlowTick(now);
-  for (FlowRecord& record : m_recent_first) {
+  for (FlowRecord& record : *recent) {
     if (record.m_target.m_value == 0 || tick - record.m_last_seen > kRecentTicks) continue;
     const ServiceTable* service = m_table->FindService(record.m_service);
     if (service == nullptr || service->FindTarget(record.m_target) == nullptr) continue;
@@ -66,7 +67,7 @@
 
 bool FlowDecider::AddRecord(const FlowRecord& record, DataCentreId keepers, TimePoint now) {
   if (!m_records.Insert(record)) return false;
-  for (const HostId host : HoldersIn(m_table->Keepers(), keepers, record.m_fingerprint)) {
+  for (const HostId host : HoldersIn(m_table->Keepers(), keepers, record.m_fingerprint, true)) {
     if (host != m_table->Self()) m_transfer.QueueNew(host, record, now);
   }
   return true;
@@ -81,9 +82,10 @@
     if (held.m_target.m_value != 0) all_taken = m_records.Insert(held) && all_taken;
   }
   if (message.m_final) {
-    auto& [shards, finished] = m_finished[message.m_sender];
-    shards = message.m_shards;
-    finished.insert(message.m_shard);
+    FinishedTransfer& finished = m_finished[message.m_sender];
+    if (finished.m_keepers_digest != message.m_keepers_digest) finished = {message.m_keepers_digest, 1, {}};
+    finished.m_shards = message.m_shards;
+    finished.m_finished_shards.insert(message.m_shard);
   }
   // Sequence 0 acknowledges nothing: the sender tries again until there is room.
   const HostId self = m_table == nullptr ? m_options.m_transfer.m_self : m_table->Self();
@@ -112,23 +114,25 @@
 }
 
 void FlowDecider::Scan() {
+  // A joining balancer counts as a former holder only if no rank has changed: a sender may have died in the middle.
+  const bool same_ranks = m_scan_base->Keepers().Digest() == m_table->Keepers().Digest();
   const std::size_t end = std::min(m_scan_position + kPositionsInTick, m_records.Positions());
   for (; m_scan_position < end; ++m_scan_position) {
     const FlowRecord* record = m_records.At(m_scan_position);
-    if (record != nullptr) TransferRecord(*record);
+    if (record != nullptr) TransferRecord(*record, same_ranks);
   }
   if (m_scan_position == m_records.Positions()) FinishScan();
 }
 
-void FlowDecider::TransferRecord(const FlowRecord& record) {
+void FlowDecider::TransferRecord(const FlowRecord& record, bool same_ranks) {
   const HostId self = m_table->Self();
-  const KeeperHolders former = HoldersBy(*m_scan_base, record);
-  // One of the former holders sends: the first that is still there.
+  const KeeperHolders former = HoldersBy(*m_scan_base, record, same_ranks);
+  // One of the former holders sends: the first that is still there. A leaving balancer sends all that it holds.
   for (const HostId host : former) {
-    if (host == self) break;
+    if (host == self || m_table->Keepers().FindBalancer(self) == nullptr) break;
     if (m_table->Keepers().FindBalancer(host) != nullptr) return;
   }
-  for (const HostId host : HoldersBy(*m_table, record)) {
+  for (const HostId host : HoldersBy(*m_table, record, true)) {
     if (host != self && !former.Has(host)) m_transfer.QueueBulk(host, record);
   }
 }
@@ -137,17 +141,20 @@
   m_is_scanning = false;
   m_scan_base = nullptr;
   for (const BalancerEntry& balancer : m_table->Keepers().Joining(m_table->SelfDataCentre())) {
-    if (balancer.m_host != m_table->Self()) m_transfer.QueueFinal(balancer.m_host);
+    if (balancer.m_host != m_table->Self())
+      m_transfer.QueueFinal(balancer.m_host, m_table->Keepers().ReadyDigest(m_table->SelfDataCentre()));
   }
 }
 
 bool FlowDecider::HasAllRecords() const {
   if (m_table == nullptr) return false;
   const std::vector<BalancerEntry> keepers = m_table->Keepers().Ready(m_table->SelfDataCentre());
-  return std::all_of(keepers.begin(), keepers.end(), [this](const BalancerEntry& keeper) {
+  const std::uint64_t digest = m_table->Keepers().ReadyDigest(m_table->SelfDataCentre());
+  return std::all_of(keepers.begin(), keepers.end(), [this, digest](const BalancerEntry& keeper) {
     if (keeper.m_host == m_table->Self()) return true;
     const auto found = m_finished.find(keeper.m_host);
-    return found != m_finished.end() && found->second.second.size() >= found->second.first;
+    return found != m_finished.end() && found->second.m_keepers_digest == digest &&
+           found->second.m_finished_shards.size() >= found->second.m_shards;
   });
 }
 
@@ -162,7 +169,7 @@
 }
 
 std::size_t FlowDecider::Bytes() const noexcept {
-  return m_records.Bytes() + m_silence.Bytes() + m_recent_first.size() * sizeof(FlowRecord);
+  return m_records.Bytes() + m_silence.Bytes() + (m_recent_first.size() + m_recent_udp.size()) * sizeof(FlowRecord);
 }
 
 }  // namespace fighatch
--- a/src/flow/keeper_holders.h
+++ b/src/flow/keeper_holders.h
@@ -23,13 +23,16 @@
   }
 };
 
-/// The holders of a flow's record if the balancers of this data centre keep it.
-inline KeeperHolders HoldersIn(const KeeperRanks& ranks, DataCentreId data_centre, std::uint64_t fingerprint) noexcept {
+/// The holders of a flow's record if the balancers of this data centre keep it; `with_joining` adds balancers
+/// that are not ready yet.
+inline KeeperHolders HoldersIn(const KeeperRanks& ranks, DataCentreId data_centre, std::uint64_t fingerprint,
+                               bool with_joining) noexcept {
   KeeperHolders holders;
   const KeeperPair present = ranks.Find(data_centre, fingerprint);
   const KeeperPair prospective = ranks.FindProspective(data_centre, fingerprint);
   holders.Add(present.m_first);
   holders.Add(present.m_second);
+  if (!with_joining) return holders;
   holders.Add(prospective.m_first);
   holders.Add(prospective.m_second);
   return holders;
--- a/src/flow/keeper_ranks.cc
+++ b/src/flow/keeper_ranks.cc
@@ -121,6 +121,26 @@
   return group == nullptr ? std::vector<BalancerEntry>{} : Select(group->m_joining_balancers);
 }
 
+std::uint64_t KeeperRanks::DigestOf(const std::vector<std::uint16_t>& indexes) const noexcept {
+  std::uint64_t digest = indexes.size();
+  for (const std::uint16_t index : indexes) digest = MixHash(digest, m_balancers[index].m_host.m_value);
+  return digest;
+}
+
+std::uint64_t KeeperRanks::ReadyDigest(DataCentreId data_centre) const noexcept {
+  const Group* group = FindGroup(data_centre);
+  return group == nullptr ? 0 : DigestOf(group->m_ready_balancers);
+}
+
+std::uint64_t KeeperRanks::Digest() const noexcept {
+  std::uint64_t digest = 0;
+  for (const Group& group : m_groups) {
+    digest = MixHash(MixHash(digest, group.m_data_centre.m_value), DigestOf(group.m_ready_balancers));
+    digest = MixHash(digest, DigestOf(group.m_joining_balancers));
+  }
+  return digest;
+}
+
 std::size_t KeeperRanks::Bytes() const noexcept {
   std::size_t bytes = m_balancers.capacity() * sizeof(BalancerEntry);
   for (const Group& group : m_groups) {
--- a/src/flow/record_transfer.cc
+++ b/src/flow/record_transfer.cc
@@ -33,7 +33,10 @@
 
 void RecordTransfer::QueueBulk(HostId host, const FlowRecord& record) { m_peers[host].m_bulk.push_back(record); }
 
-void RecordTransfer::QueueFinal(HostId host) { m_peers[host].m_final = true; }
+void RecordTransfer::QueueFinal(HostId host, std::uint64_t keepers_digest) {
+  m_peers[host].m_final = true;
+  m_peers[host].m_keepers_digest = keepers_digest;
+}
 
 void RecordTransfer::RemoveHost(HostId host) { m_peers.erase(host); }
 
@@ -118,6 +121,7 @@
   message.m_shards = m_options.m_shards;
   message.m_sequence = m_next_sequence++;
   message.m_final = is_final;
+  message.m_keepers_digest = is_final ? peer->m_keepers_digest : 0;
   while (!queue->empty() && message.m_records.size() < kMaxRecordsInMessage) {
     message.m_records.push_back(ToWire(queue->front(), tick));
     queue->pop_front();
--- /dev/null
+++ b/tests/flow_oracle.h
@@ -0,0 +1,131 @@
+#ifndef FIGHATCH_TESTS_FLOW_ORACLE_H_
+#define FIGHATCH_TESTS_FLOW_ORACLE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "fighatch/packet.h"
+#include "fighatch/table_update.h"
+
+namespace fighatch {
+
+/// Checks what targets receive against the promises of flow placement. It knows flows, targets and data centres only:
+/// no tables, slots, records or phases. Times are in milliseconds.
+class FlowOracle {
+ public:
+  /// A packet that reached a target.
+  struct Delivery {
+    std::uint32_t m_flow = 0;
+    std::uint32_t m_service = 0;
+    PacketKind m_kind = PacketKind::kLater;
+    TargetInfo m_target;
+    /// The balancer can hear neither the coordinator nor a fresh balancer, or died: it could not know better.
+    bool m_is_blind = false;
+  };
+
+  void OnDrain(std::uint64_t target, std::int64_t now) { m_drained[target] = now; }
+  void OnTargetGone(std::uint64_t target) { m_gone.insert(target); }
+  void OnDataCentreOut(std::uint16_t data_centre, std::int64_t now) {
+    m_out[data_centre] = now;
+    for (auto& [number, flow] : m_flows) flow.m_given_up |= flow.m_data_centre == data_centre;
+  }
+  void OnDataCentreIn(std::uint16_t data_centre) { m_out.erase(data_centre); }
+  /// First packets that a balancer took before it missed a change cannot be known to the others.
+  void OnBalancerLost(std::uint32_t balancer) { m_lost_balancers.insert(balancer); }
+  void OnBalancerBack(std::uint32_t balancer) { m_lost_balancers.erase(balancer); }
+
+  /// The caller has an answer from the target: the flow is established there.
+  void OnEstablished(std::uint32_t flow) { m_flows[flow].m_established = true; }
+
+  void OnDelivery(const Delivery& delivery, std::uint32_t balancer, std::int64_t now) {
+    CheckTarget(delivery, now);
+    Flow& flow = m_flows[delivery.m_flow];
+    if (flow.m_given_up || m_gone.contains(flow.m_target)) flow = Flow{};
+    const std::uint64_t target = delivery.m_target.m_id.m_value;
+    if (flow.m_target == 0) {
+      Open(delivery, balancer, now);
+    } else if (flow.m_target != target) {
+      CheckMove(delivery, flow, now);
+      Open(delivery, balancer, now);
+    }
+    m_flows[delivery.m_flow].m_last = now;
+  }
+
+  /// True if the flow still ends at this target.
+  [[nodiscard]] bool EndsAt(std::uint32_t flow, std::uint64_t target) const {
+    const auto found = m_flows.find(flow);
+    return found != m_flows.end() && found->second.m_target == target && !found->second.m_given_up;
+  }
+  [[nodiscard]] const std::vector<std::string>& Violations() const { return m_violations; }
+  [[nodiscard]] std::size_t Deliveries() const { return m_deliveries; }
+
+ private:
+  struct Flow {
+    std::uint64_t m_target = 0;
+    std::uint16_t m_data_centre = 0;
+    std::uint32_t m_balancer = 0;
+    std::int64_t m_opened = 0;
+    std::int64_t m_last = 0;
+    bool m_established = false;
+    bool m_given_up = false;
+  };
+
+  static constexpr std::int64_t kBoundMs = 3000;
+  /// A UDP flow that is silent for the whole learning phase may move.
+  static constexpr std::int64_t kUdpSilenceMs = 900;
+  /// First packets are remembered this long.
+  static constexpr std::int64_t kFirstPacketMs = 3800;
+
+  void CheckTarget(const Delivery& delivery, std::int64_t now) {
+    ++m_deliveries;
+    if (delivery.m_target.m_service.m_value != delivery.m_service) Fail("wrong service", delivery, now);
+    const auto out = m_out.find(delivery.m_target.m_data_centre.m_value);
+    if (out != m_out.end() && now - out->second > kBoundMs) Fail("data centre is out", delivery, now);
+  }
+
+  void Open(const Delivery& delivery, std::uint32_t balancer, std::int64_t now) {
+    const std::uint64_t target = delivery.m_target.m_id.m_value;
+    const auto drained = m_drained.find(target);
+    const bool is_late = drained != m_drained.end() && now - drained->second > kBoundMs;
+    const bool opens = delivery.m_kind != PacketKind::kLater;
+    if (opens && is_late && !delivery.m_is_blind) Fail("new flow at a leaving target", delivery, now);
+    if (!opens) return;
+    m_flows[delivery.m_flow] = {target, delivery.m_target.m_data_centre.m_value, balancer, now, now, false, false};
+    m_flows[delivery.m_flow].m_established = delivery.m_kind == PacketKind::kDatagram;
+  }
+
+  void CheckMove(const Delivery& delivery, const Flow& flow, std::int64_t now) {
+    const bool is_udp = delivery.m_kind == PacketKind::kDatagram;
+    if (is_udp && now - flow.m_last >= kUdpSilenceMs) return;
+    if (!is_udp && !flow.m_established) {
+      const bool is_forgotten = now - flow.m_last > kFirstPacketMs || m_lost_balancers.contains(flow.m_balancer);
+      if (is_forgotten) return;
+      Fail("first packet opened a second target", delivery, now);
+    } else {
+      Fail("established flow moved from " + std::to_string(flow.m_target), delivery, now);
+    }
+  }
+
+  void Fail(const std::string& what, const Delivery& delivery, std::int64_t now) {
+    std::ostringstream text;
+    text << now << " ms: " << what << ": flow " << delivery.m_flow << " kind " << static_cast<int>(delivery.m_kind)
+         << " target " << delivery.m_target.m_id.m_value;
+    m_violations.push_back(text.str());
+  }
+
+  std::map<std::uint32_t, Flow> m_flows;
+  std::map<std::uint64_t, std::int64_t> m_drained;
+  std::set<std::uint64_t> m_gone;
+  std::map<std::uint16_t, std::int64_t> m_out;
+  std::set<std::uint32_t> m_lost_balancers;
+  std::vector<std::string> m_violations;
+  std::size_t m_deliveries = 0;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_TESTS_FLOW_ORACLE_H_
--- a/tests/flow_records_test.cc
+++ b/tests/flow_records_test.cc
@@ -60,7 +60,7 @@
   options.m_self = HostId{1};
   RecordTransfer transfer(options);
   for (std::uint64_t key = 1; key <= 50; ++key) transfer.QueueBulk(HostId{2}, RecordOf(key, 1));
-  transfer.QueueFinal(HostId{2});
+  transfer.QueueFinal(HostId{2}, 7);
   const auto first = transfer.Tick(AtMs(1000));
   ASSERT_EQ(first.size(), 1U);
   EXPECT_EQ(first[0].m_message.m_records.size(), kMaxRecordsInMessage);
--- /dev/null
+++ b/tests/flow_state_test.cc
@@ -0,0 +1,48 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+#include "flow_cluster.h"
+
+namespace fighatch {
+namespace {
+
+/// The state machine keeps no model of its own: the oracle in the cluster is the model.
+struct NoModel {};
+
+struct StepCommand : rc::state::Command<NoModel, FlowCluster> {
+  explicit StepCommand(const NoModel&) {
+    const auto draw = [](std::uint32_t from, std::uint32_t to) { return *rc::gen::inRange(from, to); };
+    constexpr auto kFaults = static_cast<std::uint32_t>(Fault::kCount);
+    m_step.m_kind = static_cast<StepKind>(*rc::gen::weightedElement<int>({{1, 0}, {3, 1}, {2, 2}}));
+    m_step.m_seed = draw(1, 1000000);
+    if (m_step.m_kind == StepKind::kOpen) m_step.m_a = draw(1, 40);
+    if (m_step.m_kind == StepKind::kRun) {
+      m_step.m_a = draw(1, 60);
+      m_step.m_b = *rc::gen::element<std::uint32_t>(0, 0, 2, 10);
+    }
+    if (m_step.m_kind == StepKind::kFaults) {
+      m_step.m_a = draw(1, kFaults);
+      m_step.m_b = draw(0, kFaults);
+    }
+  }
+  void run(const NoModel&, FlowCluster& cluster) const override {
+    cluster.Apply(m_step);
+    RC_ASSERT(cluster.Oracle().Violations() == std::vector<std::string>{});
+  }
+  void show(std::ostream& out) const override { out << m_step; }
+
+  Step m_step;
+};
+
+// Guards against any break of a promise by two faults at once: moved flows, packets at another service's target, new
+// flows at a leaving target, packets at a data centre that is out, first packets that open two flows.
+RC_GTEST_PROP(FlowStateTest, KeepsItsPromisesUnderTwoFaultsAtATime, ()) {
+  FlowCluster cluster;
+  cluster.Apply({StepKind::kOpen, 40, 0, 1});
+  cluster.Apply({StepKind::kRun, 20, 0, 2});
+  rc::state::check(NoModel{}, cluster, rc::state::gen::execOneOfWithArgs<StepCommand>());
+}
+
+}  // namespace
+}  // namespace fighatch
