Add the coordinator, table transitions and relays

Cause: someone has to compute and publish the owner tables of a data centre.

Change: election with epochs that differ between writers, transitions through learning and moving, resend, relay to other data centres, ramps, allowances, data-centre shares.

The lease property still fails in some long runs and is being worked on.

--- a/include/fighatch/allowance_grantor.h
+++ b/include/fighatch/allowance_grantor.h
@@ -55,6 +55,9 @@
   [[nodiscard]] std::size_t KnownMembers() const noexcept { return m_members.size(); }
   [[nodiscard]] std::size_t HeardMembers(TimePoint now) const;
 
+  /// Slots of a target as `SetAllowance` named them; 0 for an unknown target.
+  [[nodiscard]] std::uint32_t CapacityOf(TargetId target) const;
+
   [[nodiscard]] std::uint64_t Epoch() const noexcept { return m_epoch; }
 
  private:
@@ -85,6 +88,7 @@
   struct Target {
     ServiceId m_service;
     Incarnation m_incarnation;
+    std::uint32_t m_capacity = 0;
     std::uint32_t m_allowance = 0;
     std::vector<Token> m_tokens;
   };
@@ -106,7 +110,9 @@
   [[nodiscard]] bool TakesTokens(HostId host) const;
   [[nodiscard]] bool IsHeard(HostId host, TimePoint now) const;
   [[nodiscard]] bool HasMajority(TimePoint now) const;
+  /// True if every host that may hold a token has said which ones it holds.
   [[nodiscard]] bool AllReported(TimePoint now) const;
+  [[nodiscard]] bool HasReported(HostId host, TimePoint now) const;
   [[nodiscard]] bool IsMissedByMajority(HostId host, TimePoint now) const;
   [[nodiscard]] bool IsSettled(HostId home, TimePoint now) const;
   [[nodiscard]] bool IsFree(const Token& token, TimePoint now) const;
@@ -148,6 +154,8 @@
   std::optional<TimePoint> m_majority_at;
   std::optional<TimePoint> m_all_reported_at;
   std::map<HostId, TimePoint> m_member_since;
+  /// When members went out of the list in use.
+  std::map<HostId, TimePoint> m_gone;
   std::map<HostId, Holder> m_holders;
   std::map<TargetId, Target> m_targets;
   std::map<ServiceId, std::set<TargetId>> m_services;
--- /dev/null
+++ b/include/fighatch/coordinator.h
@@ -0,0 +1,145 @@
+#ifndef FIGHATCH_COORDINATOR_H_
+#define FIGHATCH_COORDINATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "fighatch/allowance_grantor.h"
+#include "fighatch/member.h"
+#include "fighatch/ramp.h"
+#include "fighatch/state_document.h"
+#include "fighatch/table_publication.h"
+#include "fighatch/target_registry.h"
+
+namespace fighatch {
+
+/// What a coordinator is told of its host.
+struct CoordinatorConfig {
+  HostId m_host;
+  DataCentreId m_data_centre;
+  Incarnation m_incarnation;
+  Duration m_base_idle_limit = kDefaultBaseIdle;
+};
+
+/// Messages to send.
+struct CoordinatorActions {
+  std::vector<TableSend> m_updates;
+  std::vector<AckSend> m_acks;
+};
+
+/// Runs on every balancer and coordinates on the one that is elected: the live balancer with the lowest host id of its
+/// data centre. It publishes the owner tables of its data centre, and those of level 1 if it is the region's, and
+/// grants leases.
+///
+/// \code
+/// coordinator.SetMembers(members, now);           // when the member list changes
+/// coordinator.SetState(state, now);               // when the state document changes
+/// auto actions = coordinator.Tick(registry, now); // every 50 ms
+/// for (const TableSend& send : actions.m_updates) Send(send.m_to, send.m_update);
+/// \endcode
+class Coordinator {
+ public:
+  Coordinator(const CoordinatorConfig& config, Random* random);
+
+  void SetMembers(std::vector<Member> members, TimePoint now);
+  void SetState(const StateDocument& state, TimePoint now);
+
+  /// Takes a table update that this host received. True if this host relays it: then the host's own acknowledgement
+  /// goes to `OnAck` instead of to the sender.
+  bool OnTableUpdate(const TableUpdate& update, HostId from, TimePoint now);
+
+  /// Takes an acknowledgement of any host, this one included.
+  void OnAck(const TableAck& ack, TimePoint now);
+
+  /// Answers a lease request and takes its reports of sheds and latency.
+  [[nodiscard]] std::optional<LeaseGrant> OnLeaseRequest(const LeaseRequest& request, TimePoint now);
+
+  /// Moves everything on and returns what is to be sent.
+  [[nodiscard]] CoordinatorActions Tick(const TargetRegistry& registry, TimePoint now);
+
+  /// The coordinator of this data centre as this host sees it; lease requests and target facts go to it.
+  [[nodiscard]] HostId Elected() const;
+  [[nodiscard]] bool IsActive() const noexcept { return m_active != nullptr; }
+  [[nodiscard]] bool IsRegionCoordinator() const;
+
+  /// Digest of the members of this data centre, for `AllowanceHolder::SetMembers`.
+  [[nodiscard]] std::uint32_t MembersDigest() const;
+  /// Members of this data centre that are not heard, for `AllowanceHolder::SetMembers`.
+  [[nodiscard]] std::vector<HostId> MissingMembers() const;
+
+  /// The newest table of a service that is known here; null if there is none. Data centre 0 names level 1.
+  [[nodiscard]] const TableUpdate* KnownTable(ServiceId service, DataCentreId data_centre) const;
+
+ private:
+  using TableKey = std::pair<ServiceId, DataCentreId>;
+
+  struct DataCentreRamp {
+    DataCentreState m_state = DataCentreState::kIn;
+    std::size_t m_step = 0;
+    TimePoint m_step_since;
+  };
+  /// What only the elected host has.
+  struct Active {
+    Active(std::uint64_t epoch, AllowanceGrantor grantor, TimePoint now)
+        : m_epoch(epoch), m_since(now), m_grantor(std::move(grantor)) {}
+
+    std::uint64_t m_epoch;
+    TimePoint m_since;
+    AllowanceGrantor m_grantor;
+    std::map<TableKey, TablePublication> m_tables;
+    std::map<TargetId, Ramp> m_ramps;
+    /// When targets that are no longer live were last seen.
+    std::map<TargetId, TimePoint> m_retired;
+  };
+
+  [[nodiscard]] std::vector<LeaseMember> LeaseMembers() const;
+  [[nodiscard]] std::set<HostId> OwnBalancers() const;
+  [[nodiscard]] std::optional<HostId> LowestBalancer(DataCentreId data_centre) const;
+  [[nodiscard]] const DataCentre* FindDataCentre(DataCentreId id) const;
+  [[nodiscard]] std::vector<const DataCentre*> Region() const;
+  [[nodiscard]] std::set<HostId> Receivers() const;
+
+  void Elect(TimePoint now);
+  void RaiseEpoch(TimePoint now);
+  [[nodiscard]] std::uint64_t NextEpoch() const;
+  /// True if a table that this host is to publish has a higher epoch than its own.
+  [[nodiscard]] bool IsOutranked(bool region) const;
+  TablePublication& PublicationOf(const TableKey& key);
+
+  void UpdateRamps(const TargetRegistry& registry, TimePoint now);
+  void UpdateRamp(const TargetRecord& record, TimePoint now);
+  void RetireTargets(const TargetRegistry& registry, TimePoint now);
+  [[nodiscard]] std::optional<std::size_t> KnownStep(const TargetInfo& info) const;
+  void SetAllowances(const TargetRegistry& registry, TimePoint now);
+
+  void PublishTargets(const Service& service, const TargetRegistry& registry, TimePoint now);
+  [[nodiscard]] std::vector<OwnerEntry> WantedTargets(const Service& service, const OwnerTable& table,
+                                                      const TargetRegistry& registry, TimePoint now) const;
+  void RemoveDeadTargets(TablePublication* publication, const TargetRegistry& registry, TimePoint now);
+  [[nodiscard]] bool IsInGrace(TargetId target, const TargetRegistry& registry, TimePoint now) const;
+  [[nodiscard]] static std::vector<TargetInfo> Describe(const TablePublication& publication,
+                                                        const TargetRegistry& registry);
+
+  void PublishDataCentres(const Service& service, TimePoint now);
+  void UpdateDataCentreRamps(TimePoint now);
+  [[nodiscard]] std::vector<OwnerEntry> WantedDataCentres(const Service& service) const;
+
+  CoordinatorConfig m_config;
+  Random* m_random;
+  std::vector<Member> m_members;
+  StateDocument m_state;
+  std::map<DataCentreId, DataCentreRamp> m_data_centre_ramps;
+  std::map<TableKey, TableUpdate> m_known;
+  std::uint64_t m_seen_epoch = 0;
+  std::unique_ptr<Active> m_active;
+  TableRelay m_relay;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_COORDINATOR_H_
--- a/include/fighatch/target_registry.h
+++ b/include/fighatch/target_registry.h
@@ -73,6 +73,12 @@
   /// The record of a target that is not withdrawn; null otherwise.
   [[nodiscard]] const TargetRecord* Find(TargetId target) const;
 
+  /// The record of a target, withdrawn or not; null if it is unknown or forgotten.
+  [[nodiscard]] const TargetRecord* FindAny(TargetId target) const;
+
+  /// Makes the next `TakeFacts` send every live target whole, after the coordinator has changed.
+  void ResendAll();
+
   /// The state as balancers should take it: announced, `kSuspect` after silence, `kStopped` if withdrawn.
   [[nodiscard]] TargetState StateOf(const TargetRecord& record, TimePoint now) const;
 
--- a/src/target/allowance_grantor.cc
+++ b/src/target/allowance_grantor.cc
@@ -58,10 +58,16 @@
   known.m_service = target.m_service;
   m_services[target.m_service].insert(target.m_id);
   known.m_incarnation = target.m_incarnation;
+  known.m_capacity = target.m_slots;
   known.m_allowance = std::min<std::uint32_t>(allowance, kMaxTokensPerTarget);
   Grow(target.m_id, &known, known.m_allowance);
 }
 
+std::uint32_t AllowanceGrantor::CapacityOf(TargetId target) const {
+  const auto known = m_targets.find(target);
+  return known == m_targets.end() ? 0 : known->second.m_capacity;
+}
+
 void AllowanceGrantor::Forget(TargetId target) {
   const auto known = m_targets.find(target);
   if (known == m_targets.end()) return;
@@ -125,11 +131,22 @@
 
 bool AllowanceGrantor::HasMajority(TimePoint now) const { return HeardMembers(now) * 2 > m_members.size(); }
 
+bool AllowanceGrantor::HasReported(HostId host, TimePoint now) const {
+  return IsMember(host) && IsHeard(host, now) && m_holders.at(host).m_members_digest == m_members_digest;
+}
+
 bool AllowanceGrantor::AllReported(TimePoint now) const {
   if (now - m_started < WithDrift(kLeaseTerm)) return false;
-  return std::all_of(m_members.begin(), m_members.end(), [&](const LeaseMember& member) {
-    return IsHeard(member.m_host, now) && m_holders.at(member.m_host).m_members_digest == m_members_digest;
-  });
+  // A member that is gone may go on with tokens of a former coordinator for a while.
+  const bool recently_gone = std::any_of(m_gone.begin(), m_gone.end(),
+                                         [now](const auto& item) { return now - item.second < kUnknownUseEnds; });
+  if (recently_gone) return false;
+  const auto reported = [&](const LeaseMember& member) { return HasReported(member.m_host, now); };
+  const auto accounted = [&](const LeaseMember& member) {
+    return member.m_left || m_gone.contains(member.m_host) || reported(member);
+  };
+  return std::all_of(m_members.begin(), m_members.end(), reported) &&
+         std::all_of(m_wanted_members.begin(), m_wanted_members.end(), accounted);
 }
 
 bool AllowanceGrantor::IsMissedByMajority(HostId host, TimePoint now) const {
@@ -155,11 +172,16 @@
   if (!HasMajority(now)) return;
   std::vector<LeaseMember> members;
   for (const LeaseMember& member : m_members) {
-    if (!IsGone(member, now)) members.push_back(member);
+    if (IsGone(member, now)) {
+      m_gone[member.m_host] = now;
+    } else {
+      members.push_back(member);
+    }
   }
   for (const LeaseMember& member : m_wanted_members) {
     if (!member.m_left && !IsMember(member.m_host) && IsHeard(member.m_host, now)) {
       m_member_since[member.m_host] = now;
+      m_gone.erase(member.m_host);
       members.push_back(member);
     }
   }
--- /dev/null
+++ b/src/target/owner_transition.cc
@@ -0,0 +1,132 @@
+#include "fighatch/owner_transition.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fighatch {
+namespace {
+
+bool RemoveFrom(std::vector<OwnerEntry>* owners, std::uint64_t id) {
+  return std::erase_if(*owners, [id](const OwnerEntry& entry) { return entry.m_id == id; }) > 0;
+}
+
+void Normalise(std::vector<OwnerEntry>* owners) {
+  std::erase_if(*owners, [](const OwnerEntry& entry) { return entry.m_weight == 0; });
+  std::sort(owners->begin(), owners->end(),
+            [](const OwnerEntry& left, const OwnerEntry& right) { return left.m_id < right.m_id; });
+}
+
+bool Contains(const std::vector<OwnerEntry>& owners, const OwnerEntry& wanted) {
+  return std::find(owners.begin(), owners.end(), wanted) != owners.end();
+}
+
+}  // namespace
+
+OwnerTransition::OwnerTransition(OwnerTable table, std::uint64_t epoch, Duration base_idle_limit)
+    : m_table(std::move(table)), m_base_idle_limit(base_idle_limit) {
+  const bool continued = m_table.m_version.m_epoch == epoch;
+  m_table.m_version = {epoch, continued ? m_table.m_version.m_generation + 1 : 1};
+  // The balancers may not all have learned the next list under the former coordinator, so it is learned again.
+  if (m_table.m_phase == TransitionPhase::kLearning) {
+    m_wanted = std::exchange(m_table.m_next, {});
+    m_table.m_phase = m_table.m_base == m_table.m_current ? TransitionPhase::kSettled : TransitionPhase::kMoving;
+  }
+}
+
+void OwnerTransition::Want(std::vector<OwnerEntry> owners) {
+  Normalise(&owners);
+  m_wanted = std::move(owners);
+}
+
+bool OwnerTransition::Remove(std::uint64_t owner) {
+  bool changed = RemoveFrom(&m_table.m_base, owner);
+  changed = RemoveFrom(&m_table.m_current, owner) || changed;
+  changed = RemoveFrom(&m_table.m_next, owner) || changed;
+  if (m_wanted) RemoveFrom(&*m_wanted, owner);
+  if (!changed) return false;
+  Touch();
+  return true;
+}
+
+void OwnerTransition::Touch() {
+  // The phase keeps its start; acknowledgements are for the new version only.
+  ++m_table.m_version.m_generation;
+  m_acks.clear();
+}
+
+bool OwnerTransition::OnAck(const TableAck& ack, TimePoint now) {
+  if (ack.m_version != m_table.m_version) return false;
+  m_acks[ack.m_host] = {ack.m_base_idle_s, now};
+  return true;
+}
+
+bool OwnerTransition::IsAcknowledged(const std::set<HostId>& live) const {
+  return std::all_of(live.begin(), live.end(), [this](HostId host) { return m_acks.contains(host); });
+}
+
+bool OwnerTransition::Advance(const std::set<HostId>& live, const std::function<bool(std::uint64_t)>& is_owner_live,
+                              TimePoint now) {
+  if (m_table.m_phase == TransitionPhase::kLearning) return StartMoving(live, now);
+  if (m_wanted && *m_wanted != m_table.m_current) return StartLearning(now);
+  m_wanted.reset();
+  if (m_table.m_phase == TransitionPhase::kMoving) return Retire(live, is_owner_live, now);
+  return false;
+}
+
+bool OwnerTransition::StartLearning(TimePoint now) {
+  m_table.m_next = std::exchange(m_wanted, std::nullopt).value();
+  // Without owners there are no flows to learn, and the first list holds at once.
+  if (m_table.m_current.empty()) {
+    m_table.m_current = std::exchange(m_table.m_next, {});
+    if (m_table.m_base.empty()) m_table.m_base = m_table.m_current;
+    m_table.m_phase = m_table.m_base == m_table.m_current ? TransitionPhase::kSettled : TransitionPhase::kMoving;
+  } else {
+    m_table.m_phase = TransitionPhase::kLearning;
+  }
+  Bump(now);
+  return true;
+}
+
+bool OwnerTransition::StartMoving(const std::set<HostId>& live, TimePoint now) {
+  const Duration learned = now - m_phase_since;
+  if (learned < kLearningTime || (learned < kLearningLimit && !IsAcknowledged(live))) return false;
+  m_table.m_current = std::exchange(m_table.m_next, {});
+  m_table.m_phase = TransitionPhase::kMoving;
+  Bump(now);
+  return true;
+}
+
+bool OwnerTransition::Retire(const std::set<HostId>& live, const std::function<bool(std::uint64_t)>& is_owner_live,
+                             TimePoint now) {
+  if (m_table.m_base != m_table.m_current && !IsBaseGone(is_owner_live) && !IsBaseIdle(live, now)) return false;
+  m_table.m_base = m_table.m_current;
+  m_table.m_phase = TransitionPhase::kSettled;
+  Bump(now);
+  return true;
+}
+
+bool OwnerTransition::IsBaseGone(const std::function<bool(std::uint64_t)>& is_owner_live) const {
+  // Slots left only owners that are gone if every other entry is as it was and none is new.
+  const bool no_gain = std::all_of(m_table.m_current.begin(), m_table.m_current.end(),
+                                   [this](const OwnerEntry& entry) { return Contains(m_table.m_base, entry); });
+  return no_gain && std::all_of(m_table.m_base.begin(), m_table.m_base.end(), [&](const OwnerEntry& entry) {
+           return Contains(m_table.m_current, entry) || !is_owner_live(entry.m_id);
+         });
+}
+
+bool OwnerTransition::IsBaseIdle(const std::set<HostId>& live, TimePoint now) const {
+  if (now - m_phase_since < m_base_idle_limit) return false;
+  return !live.empty() && std::all_of(live.begin(), live.end(), [&](HostId host) {
+    const auto ack = m_acks.find(host);
+    return ack != m_acks.end() && now - ack->second.m_at < kIdleReportAge &&
+           std::chrono::seconds(ack->second.m_base_idle_s) >= m_base_idle_limit;
+  });
+}
+
+void OwnerTransition::Bump(TimePoint now) {
+  ++m_table.m_version.m_generation;
+  m_phase_since = now;
+  m_acks.clear();
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/target/table_publication.cc
@@ -0,0 +1,71 @@
+#include "fighatch/table_publication.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace fighatch {
+
+bool ResendClock::IsDue(HostId host, Version version, TimePoint now) {
+  const auto [sent, inserted] = m_sent.try_emplace(host, Sent{version, now});
+  if (inserted) return true;
+  if (sent->second.m_version == version && now - sent->second.m_at < kUpdateResend) return false;
+  sent->second = {version, now};
+  return true;
+}
+
+void TablePublication::Describe(std::vector<TargetInfo> targets) {
+  if (targets == m_targets) return;
+  m_targets = std::move(targets);
+  m_transition.Touch();
+}
+
+void TablePublication::Collect(const std::set<HostId>& receivers, TimePoint now, std::vector<TableSend>* out) {
+  for (const HostId host : receivers) {
+    if (m_transition.HasAcknowledged(host) || !m_resend.IsDue(host, m_transition.Table().m_version, now)) continue;
+    out->push_back({host, {m_transition.Table(), m_targets}});
+  }
+}
+
+void TableRelay::Take(const TableUpdate& update, HostId from, TimePoint /*now*/) {
+  Relayed& relayed = m_relayed[{update.m_table.m_service, update.m_table.m_data_centre}];
+  relayed.m_answer_due = true;
+  if (update.m_table.m_version <= relayed.m_update.m_table.m_version) return;
+  relayed.m_update = update;
+  relayed.m_from = from;
+  relayed.m_idle_s.clear();
+}
+
+bool TableRelay::OnAck(const TableAck& ack) {
+  const auto relayed = m_relayed.find({ack.m_service, ack.m_data_centre});
+  if (relayed == m_relayed.end() || relayed->second.m_update.m_table.m_version != ack.m_version) return false;
+  std::uint32_t& idle_s = relayed->second.m_idle_s[ack.m_host];
+  // A new report of the idle time goes to the coordinator too.
+  if (idle_s != ack.m_base_idle_s) relayed->second.m_answer_due = true;
+  idle_s = ack.m_base_idle_s;
+  return true;
+}
+
+void TableRelay::Collect(HostId self, const std::set<HostId>& receivers, TimePoint now, std::vector<TableSend>* updates,
+                         std::vector<AckSend>* acks) {
+  for (auto& [key, relayed] : m_relayed) {
+    const Version version = relayed.m_update.m_table.m_version;
+    std::uint32_t idle_s = std::numeric_limits<std::uint32_t>::max();
+    bool complete = true;
+    for (const HostId host : receivers) {
+      const auto acknowledged = relayed.m_idle_s.find(host);
+      if (acknowledged != relayed.m_idle_s.end()) {
+        idle_s = std::min(idle_s, acknowledged->second);
+        continue;
+      }
+      complete = false;
+      // The relay has the update itself: its shell applied it when it arrived.
+      if (host != self && relayed.m_resend.IsDue(host, version, now)) updates->push_back({host, relayed.m_update});
+    }
+    if (!complete || !relayed.m_answer_due) continue;
+    relayed.m_answer_due = false;
+    acks->push_back({relayed.m_from, {self, key.first, key.second, version, idle_s}});
+  }
+}
+
+}  // namespace fighatch
--- a/src/target/target_registry.cc
+++ b/src/target/target_registry.cc
@@ -198,6 +198,17 @@
   return known == m_records.end() || known->second.m_withdrawn ? nullptr : &known->second;
 }
 
+const TargetRecord* TargetRegistry::FindAny(TargetId target) const {
+  const auto known = m_records.find(target);
+  return known == m_records.end() ? nullptr : &known->second;
+}
+
+void TargetRegistry::ResendAll() {
+  for (const auto& [id, record] : m_records) {
+    if (!record.m_withdrawn) m_unsent[id] = true;
+  }
+}
+
 TargetState TargetRegistry::StateOf(const TargetRecord& record, TimePoint now) const {
   if (record.m_withdrawn) return TargetState::kStopped;
   if (now - record.m_heard >= kTargetSuspectAfter) return TargetState::kSuspect;
--- a/tests/allowance_lease_test.cc
+++ b/tests/allowance_lease_test.cc
@@ -151,20 +151,35 @@
   }
 }
 
+// Once failed: after a one-way cut the new coordinator took the members that it had declared gone for accounted for,
+// and granted tokens that they were still using.
+TEST(AllowanceLeaseRegression, TokensOfAGoneMemberStayHeld) {
+  AllowanceModel model(5, {2, 2, 5}, 1);
+  model.m_longest_request = seconds(10);
+  model.Run(seconds(5));
+  for (auto& [id, host] : model.m_hosts) host.m_waiting = 1000;
+  model.Run(seconds(5));
+  Inject(&model, {.m_kind = 3, .m_host = 0, .m_size = 0});
+  model.Run(seconds(60));
+  EXPECT_EQ(model.m_worst_excess, 0U);
+}
+
+// Ranges of RapidCheck grow with the size of a case; small cases have next to no faults.
+template <typename T>
+T Pick(T low, T high) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<T>(low, high));
+}
+
 // Guards P3: whatever two faults come together, the requests in progress at a target never exceed what it can bear.
 RC_GTEST_PROP(AllowanceLeaseProperty, SumNeverExceedsTheAllowance, ()) {
-  const auto hosts = *rc::gen::inRange<std::uint32_t>(2, 8);
-  AllowanceModel model(hosts, {2, 2, 5}, *rc::gen::arbitrary<std::uint64_t>());
-  const bool long_requests = *rc::gen::arbitrary<bool>();
-  model.m_longest_request = long_requests ? Duration(seconds(10)) : Duration(milliseconds(400));
-  const auto rounds = *rc::gen::inRange(1, 6);
+  AllowanceModel model(Pick<std::uint32_t>(2, 8), {2, 2, 5}, Pick<std::uint64_t>(0, 1ULL << 40U));
+  model.m_longest_request = Pick(0, 2) == 0 ? Duration(seconds(10)) : Duration(milliseconds(400));
+  const int rounds = Pick(1, 8);
   for (int round = 0; round < rounds; ++round) {
-    for (int fault = 0; fault < 2; ++fault) {
-      Inject(&model, {*rc::gen::inRange(0, 10), *rc::gen::inRange<std::uint32_t>(0, 16),
-                      *rc::gen::inRange<std::uint32_t>(0, 256)});
-    }
-    for (auto& [id, host] : model.m_hosts) host.m_waiting = *rc::gen::inRange<std::uint32_t>(0, 40);
-    model.Run(milliseconds(*rc::gen::inRange(100, 25'000)));
+    for (int fault = 0; fault < 2; ++fault)
+      Inject(&model, {Pick(0, 12), Pick<std::uint32_t>(0, 16), Pick<std::uint32_t>(0, 256)});
+    for (auto& [id, host] : model.m_hosts) host.m_waiting = Pick<std::uint32_t>(0, 4) * 20;
+    model.Run(milliseconds(Pick(100, 25'000)));
     RC_ASSERT(model.m_worst_excess == 0U);
   }
 }
