Add the balancer daemon, the target stand-in and the demo

Cause: the modules need a shell that joins them into the whole path: caller, fabric, balancer, target, ticket. Change: DataPlane (batched sockets, shards with a lock each, tables swapped by pointer), RequestShell, PeerLinks, ControlLoop, StateFollower, fighatch-balancer, fighatch-target, scripts/demo with a deployment on loopback.

--- a/include/fighatch/messages.h
+++ b/include/fighatch/messages.h
@@ -29,10 +29,13 @@
 
   kFlowRecords = 48,
   kKeeperForward = 49,
+  kFlowRecordsAck = 50,
 
   kRequestForward = 64,
   kRequestAnswer = 65,
   kHandover = 66,
+  kHandoverAck = 67,
+  kSuccessorNotice = 68,
 
   kRaft = 80,
   kTicketSubmit = 81,
--- /dev/null
+++ b/programs/balancer/balancer.h
@@ -0,0 +1,74 @@
+#ifndef FIGHATCH_PROGRAMS_BALANCER_BALANCER_H_
+#define FIGHATCH_PROGRAMS_BALANCER_BALANCER_H_
+
+#include <memory>
+#include <optional>
+
+#include "balancer_settings.h"
+#include "daemon/control_loop.h"
+#include "daemon/data_plane.h"
+#include "daemon/peer_links.h"
+#include "daemon/request_shell.h"
+#include "daemon/state_follower.h"
+#include "daemon/stop_signal.h"
+#include "fighatch/file_store.h"
+#include "io/http_server.h"
+#include "observe/metrics.h"
+#include "observe/tracer.h"
+
+namespace fighatch::balancer {
+
+/// A balancer: the data plane on its receive threads, and everything else in fibers on the calling thread.
+///
+/// HTTP: `POST /v1/announce`, `GET /v1/health`, `GET /v1/members`, `GET /v1/explain?...`, `GET /metrics`.
+class Balancer {
+ public:
+  /// Reads keys and stored state and binds the sockets. Errors: `kKeyUnreadable`, `kIoSocket`, 6000s.
+  [[nodiscard]] static Result<std::unique_ptr<Balancer>> Create(const BalancerSettings& settings);
+
+  /// Serves until the stop signal, then leaves as planned: duties are handed over, requests in progress end.
+  void Run(daemon::StopSignal* stop);
+
+ private:
+  explicit Balancer(const BalancerSettings& settings);
+
+  [[nodiscard]] Status LoadKeys();
+  [[nodiscard]] Status OpenFiles();
+  [[nodiscard]] Status OpenSockets();
+  void AddMetrics();
+
+  /// Starts the control loop once the state names the own data centre.
+  void StartControlLoop(const StateDocument& state);
+  void OnState(const StateDocument& state);
+  void StoreState(const StateDocument& state);
+  void TickLoop();
+  void Leave();
+
+  [[nodiscard]] HttpResponse HandleHttp(const HttpRequest& request);
+  [[nodiscard]] HttpResponse Announce(const HttpRequest& request);
+  [[nodiscard]] HttpResponse Health() const;
+  [[nodiscard]] HttpResponse ListMembers() const;
+  [[nodiscard]] HttpResponse Explain(const std::string& query);
+
+  BalancerSettings m_settings;
+  KeyRing m_keys;
+  std::vector<TargetKey> m_target_keys;
+  std::unique_ptr<FileStore> m_files;
+  Incarnation m_incarnation;
+  StateDocument m_stored_state;
+  observe::Metrics m_metrics;
+  std::unique_ptr<observe::Tracer> m_tracer;
+  std::optional<SecureChannel> m_channel;
+  std::unique_ptr<daemon::PeerLinks> m_links;
+  std::unique_ptr<daemon::DataPlane> m_data_plane;
+  std::unique_ptr<io::HttpServer> m_server;
+  std::unique_ptr<daemon::StateFollower> m_follower;
+  std::unique_ptr<daemon::ControlLoop> m_control;
+  std::unique_ptr<daemon::RequestShell> m_requests;
+  bool m_stopping = false;
+  bool m_leaving = false;
+};
+
+}  // namespace fighatch::balancer
+
+#endif  // FIGHATCH_PROGRAMS_BALANCER_BALANCER_H_
--- /dev/null
+++ b/programs/balancer/balancer_http.cc
@@ -0,0 +1,170 @@
+// The HTTP interface and the metrics of a balancer.
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "balancer.h"
+#include "fighatch/inner_packet.h"
+
+namespace fighatch::balancer {
+namespace {
+
+using nlohmann::json;
+
+HttpResponse JsonResponse(const json& body) { return {200, {{"Content-Type", "application/json"}}, body.dump(1) + "\n"}; }
+
+std::map<std::string, std::string> ParseQuery(const std::string& query) {
+  std::map<std::string, std::string> fields;
+  std::size_t start = 0;
+  while (start < query.size()) {
+    std::size_t end = query.find('&', start);
+    if (end == std::string::npos) end = query.size();
+    const std::string field = query.substr(start, end - start);
+    const std::size_t equals = field.find('=');
+    if (equals != std::string::npos) fields[field.substr(0, equals)] = field.substr(equals + 1);
+    start = end + 1;
+  }
+  return fields;
+}
+
+const char* KindName(DecisionKind kind) {
+  static constexpr const char* kNames[] = {"drop", "target", "balancer", "reset", "request"};
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+}  // namespace
+
+HttpResponse Balancer::HandleHttp(const HttpRequest& request) {
+  const std::size_t question = request.m_path.find('?');
+  const std::string path = request.m_path.substr(0, question);
+  const std::string query = question == std::string::npos ? "" : request.m_path.substr(question + 1);
+  if (request.m_method == "POST" && path == "/v1/announce") return Announce(request);
+  if (request.m_method != "GET") return {405, {}, "method not allowed\n"};
+  if (path == "/v1/health") return Health();
+  if (path == "/v1/members") return ListMembers();
+  if (path == "/v1/explain") return Explain(query);
+  if (path == "/metrics") return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.Render()};
+  return {404, {}, "not found\n"};
+}
+
+HttpResponse Balancer::Announce(const HttpRequest& request) {
+  if (!m_control) return {503, {}, "no state yet; announce to another balancer\n"};
+  const std::string signature(FindHeader(request.m_headers, "Fighatch-Signature").value_or(""));
+  const Result<TargetId> target = m_control->OnAnnouncement(request.m_body, signature);
+  if (IsOk(target)) return {200, {}, "{}\n"};
+  const Error& error = ErrorOf(target);
+  const int status = error.m_code == ErrorCode::kAnnouncementForged ? 401 : 400;
+  return {status, {{"Fighatch-Code", std::to_string(static_cast<int>(error.m_code))}}, ToString(error) + "\n"};
+}
+
+HttpResponse Balancer::Health() const {
+  // The fabric takes a balancer out when this fails: while it leaves, before it has a state, and when it hears nobody.
+  const bool isolated = m_control && m_control->IsIsolated();
+  const char* state = !m_control ? "no_state" : m_leaving ? "leaving" : isolated ? "isolated" : "ok";
+  return {std::string_view(state) == "ok" ? 200 : 503, {}, std::string(state) + "\n"};
+}
+
+HttpResponse Balancer::ListMembers() const {
+  json members = json::array();
+  if (m_control) {
+    for (const Member& member : m_control->Members().AllMembers()) {
+      members.push_back({{"host", member.m_host.m_value},
+                         {"data_centre", member.m_data_centre.m_value},
+                         {"state", MemberStateName(member.m_state)},
+                         {"keeper_ready", member.m_keeper_ready},
+                         {"incarnation", member.m_incarnation.m_value}});
+    }
+  }
+  json targets = json::array();
+  if (m_control) {
+    for (const TargetRecord* record : m_control->Registry().Live()) {
+      targets.push_back({{"id", record->m_fact.m_info.m_id.m_value},
+                         {"service", record->m_fact.m_info.m_service.m_value},
+                         {"http", ToString(record->m_fact.m_info.m_http_endpoint)},
+                         {"state", TargetStateName(record->m_fact.m_info.m_state)},
+                         {"healthy", record->m_fact.m_healthy}});
+    }
+  }
+  return JsonResponse({{"host", m_settings.m_host.m_value},
+                       {"coordinator", m_control ? m_control->GetCoordinator().Elected().m_value : 0},
+                       {"members", members},
+                       {"targets", targets}});
+}
+
+HttpResponse Balancer::Explain(const std::string& query) {
+  std::map<std::string, std::string> fields = ParseQuery(query);
+  const Result<Endpoint> source = ParseEndpoint(fields["source"]);
+  const Result<Endpoint> destination = ParseEndpoint(fields["destination"]);
+  if (!IsOk(source) || !IsOk(destination)) {
+    return {400, {}, "usage: /v1/explain?source=IP:PORT&destination=IP:PORT&transport=tcp|udp\n"};
+  }
+  InnerPacket packet;
+  packet.m_key = {ValueOf(source), ValueOf(destination),
+                  fields["transport"] == "udp" ? Transport::kUdp : Transport::kTcp};
+  packet.m_tcp.m_flags = kTcpAck;
+  const Decision decision = m_data_plane->Explain(MakePacket(GueHeader{}, packet));
+  return JsonResponse({{"host", m_settings.m_host.m_value},
+                       {"decision", KindName(decision.m_kind)},
+                       {"code", static_cast<int>(decision.m_code)},
+                       {"service", decision.m_service.m_value},
+                       {"target", decision.m_target.m_value},
+                       {"balancer", decision.m_balancer.m_value},
+                       {"endpoint", ToString(decision.m_endpoint)}});
+}
+
+void Balancer::AddMetrics() {
+  const daemon::PacketCounters& packets = m_data_plane->Counters();
+  struct CounterRow {
+    const char* m_destination;
+    std::atomic<std::uint64_t> daemon::PacketCounters::*m_value;
+  };
+  static constexpr CounterRow kForwarded[] = {{"target", &daemon::PacketCounters::m_to_targets},
+                                              {"balancer", &daemon::PacketCounters::m_to_balancers},
+                                              {"request", &daemon::PacketCounters::m_to_requests},
+                                              {"reset", &daemon::PacketCounters::m_resets}};
+  m_metrics.AddCounter("fighatch_packets_received_total", "Packets received on the data endpoint.", {},
+                       [&packets] { return static_cast<double>(packets.m_received.load()); });
+  for (const CounterRow& row : kForwarded) {
+    m_metrics.AddCounter("fighatch_packets_forwarded_total", "Packets by where they went.", {{"to", row.m_destination}},
+                         [&packets, value = row.m_value] { return static_cast<double>((packets.*value).load()); });
+  }
+  for (std::size_t index = 1; index < daemon::PacketCounters::kCodes; ++index) {
+    const auto code = static_cast<ErrorCode>(1000 + index);
+    if (ErrorName(code) == "unknown") continue;
+    m_metrics.AddCounter("fighatch_packets_dropped_total", "Packets dropped by error code.",
+                         {{"code", std::to_string(1000 + index)}, {"error", std::string(ErrorName(code))}},
+                         [&packets, index] { return static_cast<double>(packets.m_dropped[index].load()); });
+  }
+  m_metrics.AddGauge("fighatch_flow_records", "Flow records held.", {},
+                     [this] { return static_cast<double>(m_data_plane->Records()); });
+  m_metrics.AddGauge("fighatch_state_generation", "Generation of the state in force.", {}, [this] {
+    return m_follower ? static_cast<double>(m_follower->State().m_version.m_generation) : 0.0;
+  });
+  m_metrics.AddGauge("fighatch_requests_in_progress", "Requests in progress on this balancer.", {}, [this] {
+    return m_requests ? static_cast<double>(m_requests->Engine().CallsInProgress()) : 0.0;
+  });
+  struct RequestRow {
+    const char* m_name;
+    const char* m_help;
+    std::uint64_t RequestStatistics::*m_value;
+  };
+  static constexpr RequestRow kRequests[] = {
+      {"fighatch_requests_total", "Requests taken.", &RequestStatistics::m_requests},
+      {"fighatch_request_dispatches_total", "Requests sent to targets.", &RequestStatistics::m_dispatches},
+      {"fighatch_request_retries_total", "Requests sent to a second target.", &RequestStatistics::m_retries},
+      {"fighatch_requests_answered_total", "Requests answered by a target.", &RequestStatistics::m_answered},
+      {"fighatch_requests_not_run_total", "Requests refused as not run.", &RequestStatistics::m_not_run},
+      {"fighatch_requests_unknown_total", "Requests with an unknown outcome.", &RequestStatistics::m_unknown},
+  };
+  for (const RequestRow& row : kRequests) {
+    m_metrics.AddCounter(row.m_name, row.m_help, {}, [this, value = row.m_value] {
+      return m_requests ? static_cast<double>(m_requests->Engine().Statistics().*value) : 0.0;
+    });
+  }
+  m_metrics.AddCounter("fighatch_control_bytes_total", "Bytes of control messages.", {{"direction", "sent"}},
+                       [this] { return static_cast<double>(m_links->Counters().m_sent_bytes); });
+  m_metrics.AddCounter("fighatch_control_bytes_total", "Bytes of control messages.", {{"direction", "received"}},
+                       [this] { return static_cast<double>(m_links->Counters().m_received_bytes); });
+}
+
+}  // namespace fighatch::balancer
--- /dev/null
+++ b/programs/balancer/main.cc
@@ -0,0 +1,32 @@
+#include <glog/logging.h>
+#include <sodium.h>
+
+#include "balancer.h"
+#include "daemon/program.h"
+#include "daemon/stop_signal.h"
+#include "io/reactor.h"
+
+namespace {
+
+using fighatch::daemon::ExitCode;
+
+ExitCode Run(const fighatch::balancer::BalancerSettings& settings) {
+  if (sodium_init() < 0) return ExitCode::kFailed;
+  fighatch::daemon::StopSignal stop;
+  fighatch::io::Reactor reactor;
+  auto balancer = fighatch::balancer::Balancer::Create(settings);
+  if (!IsOk(balancer)) {
+    LOG(ERROR) << "event=start_failed " << ToString(ErrorOf(balancer));
+    return ExitCode::kFailed;
+  }
+  ValueOf(balancer)->Run(&stop);
+  return ExitCode::kOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return fighatch::daemon::RunProgram<fighatch::balancer::BalancerSettings>(
+      argc, argv, {"fighatch-balancer", "Layer-4 load balancer: one of many that act as one."},
+      fighatch::balancer::ParseBalancerSettings, Run);
+}
--- /dev/null
+++ b/programs/target/flow_server.cc
@@ -0,0 +1,103 @@
+#include "flow_server.h"
+
+#include <algorithm>
+
+#include "fighatch/gue.h"
+
+namespace fighatch::target {
+namespace {
+
+constexpr std::uint32_t kInitialSequence = 1000;
+
+}  // namespace
+
+FlowServer::FlowServer(const TargetSettings& settings, io::UdpSocket socket)
+    : m_settings(settings), m_socket(std::move(socket)), m_name(settings.m_service + "/" + ToString(settings.m_gue)) {}
+
+Result<FlowServer> FlowServer::Create(const TargetSettings& settings) {
+  Result<io::UdpSocket> socket = io::UdpSocket::Bind(settings.m_gue);
+  if (!IsOk(socket)) return ErrorOf(socket);
+  return FlowServer(settings, std::move(ValueOf(socket)));
+}
+
+void FlowServer::ServeBatch(io::Deadline deadline) {
+  for (const io::IncomingDatagram& datagram : m_socket.Receive(deadline)) Serve(datagram.m_bytes);
+}
+
+void FlowServer::Serve(std::span<const std::byte> datagram) {
+  const Result<GuePacket> outer = DecodeGue(datagram);
+  // A kernel does not know the private field: such a packet counts as malformed here too.
+  if (!IsOk(outer) || ValueOf(outer).m_header.m_hop_count != 0) {
+    ++m_counters.m_malformed;
+    return;
+  }
+  const Result<InnerPacket> inner = ParseInnerPacket(ValueOf(outer).m_inner);
+  if (!IsOk(inner)) {
+    ++m_counters.m_malformed;
+    return;
+  }
+  const InnerPacket& packet = ValueOf(inner);
+  ++m_counters.m_packets;
+  m_last_packet = std::chrono::steady_clock::now();
+  if (!IsOwnAddress(packet.m_key.m_destination)) {
+    ++m_counters.m_misdelivered;
+    return;
+  }
+  if (packet.m_key.m_transport == Transport::kTcp) {
+    ServeTcp(packet);
+  } else {
+    ServeUdp(packet);
+  }
+}
+
+bool FlowServer::IsOwnAddress(const Endpoint& destination) const {
+  const auto& own = m_settings.m_service_addresses;
+  return own.empty() || std::find(own.begin(), own.end(), destination) != own.end();
+}
+
+void FlowServer::ServeTcp(const InnerPacket& packet) {
+  const std::uint64_t flow = FlowHash(packet.m_key);
+  const TcpFields& tcp = packet.m_tcp;
+  if ((tcp.m_flags & kTcpRst) != 0) {
+    m_counters.m_closed += m_connections.erase(flow);
+    return;
+  }
+  if ((tcp.m_flags & kTcpSyn) != 0) {
+    if (m_connections.try_emplace(flow, kInitialSequence + 1).second) ++m_counters.m_opened;
+    return Answer(packet, {kInitialSequence, tcp.m_sequence + 1, kTcpSyn | kTcpAck}, {});
+  }
+  const auto found = m_connections.find(flow);
+  if (found == m_connections.end()) {
+    ++m_counters.m_resets;
+    return Emit(BuildTcpReset(packet));
+  }
+  const auto received = tcp.m_sequence + static_cast<std::uint32_t>(packet.m_payload.size());
+  if ((tcp.m_flags & kTcpFin) != 0) {
+    Answer(packet, {found->second, received + 1, kTcpFin | kTcpAck}, {});
+    m_connections.erase(found);
+    ++m_counters.m_closed;
+    return;
+  }
+  if (packet.m_payload.empty()) return;
+  Answer(packet, {found->second, received, kTcpPsh | kTcpAck}, m_name);
+}
+
+void FlowServer::ServeUdp(const InnerPacket& packet) {
+  std::string payload = m_name + " ";
+  payload.append(reinterpret_cast<const char*>(packet.m_payload.data()), packet.m_payload.size());
+  Emit(BuildUdpPacket(packet.m_key.m_destination, packet.m_key.m_source, std::as_bytes(std::span(payload))));
+}
+
+void FlowServer::Answer(const InnerPacket& packet, const TcpFields& fields, std::string_view payload) {
+  Emit(BuildTcpPacket(packet.m_key.m_destination, packet.m_key.m_source, fields, std::as_bytes(std::span(payload))));
+}
+
+void FlowServer::Emit(const std::vector<std::byte>& inner) {
+  const bool is_v4 = (std::to_integer<unsigned>(inner[0]) >> 4U) == 4;
+  std::vector<std::byte> datagram(kGuePlainBytes + inner.size());
+  EncodeGue({is_v4 ? kGueProtocolIpv4 : kGueProtocolIpv6}, datagram);
+  std::copy(inner.begin(), inner.end(), datagram.begin() + kGuePlainBytes);
+  m_socket.Send(m_settings.m_fabric, datagram);
+}
+
+}  // namespace fighatch::target
--- /dev/null
+++ b/src/daemon/control_loop.cc
@@ -0,0 +1,260 @@
+#include "daemon/control_loop.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace fighatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kCoordinationInterval{50};
+constexpr milliseconds kFactsInterval{200};
+constexpr seconds kAckInterval{5};
+// A member that has not heard anyone for this long counts itself as isolated.
+constexpr seconds kIsolatedAfter{3};
+// A data centre whose members are all silent for this long counts as cut off.
+constexpr seconds kCutOffAfter{2};
+// A starting balancer that has found no keeper by now is the first of its data centre.
+constexpr seconds kFirstKeeperAfter{3};
+// The notice of a leave is repeated by other members for this long before the process ends.
+constexpr seconds kLeaveNoticeTime{1};
+
+bool IsLive(const Member& member) {
+  return member.m_state == MemberState::kAlive || member.m_state == MemberState::kSuspect;
+}
+
+}  // namespace
+
+ControlLoop::ControlLoop(const ControlLoopOptions& options, const ControlLoopParts& parts, const StateDocument& state)
+    : m_options(options),
+      m_parts(parts),
+      m_state(state),
+      m_random(options.m_seed),
+      m_membership({options.m_self, options.m_seeds, options.m_seeds}, Random(options.m_seed + 1)),
+      m_registry(options.m_self.m_data_centre),
+      m_coordinator({options.m_self.m_host, options.m_self.m_data_centre, options.m_self.m_incarnation}, &m_random),
+      m_allowance(options.m_self.m_host, options.m_self.m_incarnation),
+      m_started(DataPlane::Now()) {
+  m_coordinator.SetState(m_state, m_started);
+  MembersChanged(m_started);
+}
+
+void ControlLoop::SetRequestShell(RequestShell* shell) {
+  m_requests = shell;
+  for (const auto& [name, service] : m_state.m_services) m_requests->Handle(ServiceChanged{service});
+}
+
+void ControlLoop::Tick() {
+  const TimePoint now = DataPlane::Now();
+  TickMembership(now);
+  if (now >= m_next_coordination) {
+    m_next_coordination = now + kCoordinationInterval;
+    TickCoordination(now);
+    TickFacts(now);
+    TickHealthChecks(now);
+    TickAcks(now);
+  }
+  TickLeases(now);
+  if (m_tables_changed) RebuildTables(now);
+  TickContact(now);
+  TickRecords();
+}
+
+void ControlLoop::TickMembership(TimePoint now) {
+  if (now >= m_membership.NextDeadline()) Run(m_membership.Tick(now), now);
+  if (m_leaving || m_keeper_ready) return;
+  // A balancer answers for flows only once it has the records; the first one of a data centre has none to wait for.
+  const bool first = now - m_started > kFirstKeeperAfter && m_table != nullptr;
+  if (!first || !m_parts.m_data_plane->HasAllRecords()) return;
+  m_keeper_ready = true;
+  LOG(INFO) << "event=keeper_ready host=" << m_options.m_self.m_host.m_value;
+  Run(m_membership.SetKeeperReady(now, true), now);
+  MembersChanged(now);
+}
+
+void ControlLoop::Run(const MembershipActions& actions, TimePoint now) {
+  for (const OutgoingMessage& message : actions.m_messages) m_parts.m_links->SendTo(message);
+  for (const MembershipEvent& event : actions.m_events) OnMembershipEvent(event);
+  if (!actions.m_events.empty()) MembersChanged(now);
+}
+
+void ControlLoop::OnMembershipEvent(const MembershipEvent& event) {
+  LOG(INFO) << "event=member_" << MembershipEventName(event.m_kind) << " host=" << event.m_member.m_host.m_value
+            << " incarnation=" << event.m_member.m_incarnation.m_value;
+  if (m_requests == nullptr || event.m_member.m_role != MemberRole::kBalancer) return;
+  const Member& member = event.m_member;
+  if (event.m_kind == MembershipEventKind::kDied || event.m_kind == MembershipEventKind::kLeft) {
+    m_requests->Handle(MemberDied{member.m_host, member.m_incarnation});
+  } else if (event.m_kind == MembershipEventKind::kJoined || event.m_kind == MembershipEventKind::kRestarted) {
+    m_requests->Handle(MemberAlive{member.m_host, member.m_incarnation});
+  }
+}
+
+void ControlLoop::MembersChanged(TimePoint now) {
+  m_coordinator.SetMembers(m_membership.AllMembers(), now);
+  m_allowance.SetMembers(m_coordinator.MembersDigest(), m_coordinator.MissingMembers());
+  m_allowance.Follow(m_coordinator.Elected(), now);
+  m_tables_changed = true;
+}
+
+void ControlLoop::TickCoordination(TimePoint now) {
+  m_registry.Tick(now);
+  const CoordinatorActions actions = m_coordinator.Tick(m_registry, now);
+  for (const TableSend& send : actions.m_updates) {
+    if (send.m_to == m_options.m_self.m_host) {
+      TakeTable(send.m_update, send.m_to);
+    } else {
+      m_parts.m_links->Send(send.m_to, MessageType::kTableUpdate, wire::Encode(send.m_update));
+    }
+  }
+  for (const AckSend& send : actions.m_acks) {
+    if (send.m_to == m_options.m_self.m_host) {
+      m_coordinator.OnAck(send.m_ack, now);
+    } else {
+      m_parts.m_links->Send(send.m_to, MessageType::kTableAck, wire::Encode(send.m_ack));
+    }
+  }
+}
+
+void ControlLoop::TickLeases(TimePoint now) {
+  const std::optional<LeaseRequest> request = m_allowance.Poll(now);
+  if (!request) return;
+  const HostId grantor = m_allowance.Grantor();
+  if (grantor != m_options.m_self.m_host) {
+    return m_parts.m_links->Send(grantor, MessageType::kLeaseRequest, wire::Encode(*request));
+  }
+  const std::optional<LeaseGrant> grant = m_coordinator.OnLeaseRequest(*request, now);
+  if (!grant) return;
+  m_allowance.OnGrant(*grant, now);
+  m_table_confirmed = now;
+  if (m_requests != nullptr) m_requests->Handle(AllowanceChanged{});
+}
+
+void ControlLoop::TickFacts(TimePoint now) {
+  if (now < m_next_facts) return;
+  m_next_facts = now + kFactsInterval;
+  const TargetFacts facts = m_registry.TakeFacts(m_options.m_self.m_host, now);
+  if (facts.m_facts.empty() && facts.m_refreshes.empty() && facts.m_withdrawals.empty()) return;
+  const HostId coordinator = m_coordinator.Elected();
+  if (coordinator == m_options.m_self.m_host || coordinator == HostId{}) return;
+  m_parts.m_links->Send(coordinator, MessageType::kTargetFacts, wire::Encode(facts));
+}
+
+void ControlLoop::TickRecords() {
+  for (const RecordSend& send : m_parts.m_data_plane->Tick()) {
+    m_parts.m_links->Send(send.m_host, MessageType::kFlowRecords, EncodeFlowRecords(send.m_message));
+  }
+}
+
+void ControlLoop::TickContact(TimePoint now) {
+  const bool coordinates = m_coordinator.Elected() == m_options.m_self.m_host;
+  if (coordinates) m_table_confirmed = now;
+  FlowContact contact{m_table_confirmed, m_peer_heard, {}};
+  const std::vector<Member> members = m_membership.LiveMembers();
+  const auto peer = std::find_if(members.begin(), members.end(), [this](const Member& member) {
+    return member.m_role == MemberRole::kBalancer && member.m_host != m_options.m_self.m_host &&
+           member.m_state == MemberState::kAlive;
+  });
+  if (peer != members.end()) contact.m_fresh_peer = peer->m_host;
+  // Without any other member in its settings and its list, a balancer is not isolated but alone.
+  if (m_options.m_seeds.empty()) contact.m_peer_heard = now;
+  m_parts.m_data_plane->SetContact(contact);
+}
+
+void ControlLoop::TickAcks(TimePoint now) {
+  if (now < m_next_acks) return;
+  m_next_acks = now + kAckInterval;
+  // Coordinators learn from these acknowledgements how long the base of a transition has been idle.
+  for (const auto& [key, sender] : m_table_senders) {
+    if (m_tables[key].m_table.m_phase != TransitionPhase::kSettled) SendAck(key, sender);
+  }
+}
+
+void ControlLoop::OnState(const StateDocument& state) {
+  const TimePoint now = DataPlane::Now();
+  m_state = state;
+  m_coordinator.SetState(m_state, now);
+  m_tables_changed = true;
+  if (m_requests == nullptr) return;
+  for (const auto& [name, service] : m_state.m_services) m_requests->Handle(ServiceChanged{service});
+}
+
+Result<TargetId> ControlLoop::OnAnnouncement(std::string_view body, std::string_view signature) {
+  return m_registry.Announce(body, signature, m_options.m_target_keys, m_state, DataPlane::Now());
+}
+
+void ControlLoop::OnExchange(const ReportExchange& report) {
+  m_registry.OnConnection(report.m_target, report.m_result == ExchangeResult::kRefused, DataPlane::Now());
+  if (report.m_result == ExchangeResult::kAnswered || report.m_result == ExchangeResult::kShed) {
+    m_allowance.OnOutcome(report.m_target, report.m_duration, report.m_result == ExchangeResult::kShed);
+  }
+}
+
+void ControlLoop::StartLeave() {
+  m_leaving = true;
+  const TimePoint now = DataPlane::Now();
+  LOG(INFO) << "event=leave_started records=" << m_parts.m_data_plane->Records();
+  Run(m_membership.SetKeeperReady(now, false), now);
+  MembersChanged(now);
+}
+
+bool ControlLoop::HasLeft() {
+  const TimePoint now = DataPlane::Now();
+  if (m_leave_sent) return now - m_leave_sent_at > kLeaveNoticeTime;
+  if (!OtherBalancers().empty() && !m_parts.m_data_plane->IsTransferDone()) return false;
+  m_leave_sent = true;
+  m_leave_sent_at = now;
+  Run(m_membership.Leave(now), now);
+  return false;
+}
+
+HostId ControlLoop::Successor() const {
+  const std::vector<HostId> others = OtherBalancers();
+  for (const HostId host : others) {
+    const std::optional<Member> member = m_membership.Find(host);
+    if (member && member->m_data_centre == m_options.m_self.m_data_centre) return host;
+  }
+  return others.empty() ? HostId{} : others.front();
+}
+
+std::vector<HostId> ControlLoop::OtherBalancers() const {
+  std::vector<HostId> hosts;
+  for (const Member& member : m_membership.AllMembers()) {
+    const bool is_other = member.m_host != m_options.m_self.m_host && member.m_role == MemberRole::kBalancer;
+    if (is_other && IsLive(member)) hosts.push_back(member.m_host);
+  }
+  return hosts;
+}
+
+std::optional<Endpoint> ControlLoop::FindEndpoint(HostId host) const {
+  const std::optional<Member> member = m_membership.Find(host);
+  if (!member) return std::nullopt;
+  return member->m_control_endpoint;
+}
+
+bool ControlLoop::IsIsolated() const {
+  return !m_options.m_seeds.empty() && DataPlane::Now() - m_peer_heard > kIsolatedAfter;
+}
+
+std::vector<DataCentreId> ControlLoop::CutOffDataCentres(TimePoint now) {
+  std::vector<DataCentreId> cut_off;
+  for (const auto& [name, data_centre] : m_state.m_data_centres) {
+    const DataCentreId id = data_centre.m_id;
+    if (id == m_options.m_self.m_data_centre) continue;
+    if (!m_membership.LiveMembersOf(id).empty()) {
+      if (m_cut_off_since.erase(id) > 0) m_returned_at[id] = now;
+      continue;
+    }
+    const TimePoint since = m_cut_off_since.try_emplace(id, now).first->second;
+    if (now - since > kCutOffAfter) cut_off.push_back(id);
+  }
+  return cut_off;
+}
+
+}  // namespace fighatch::daemon
--- /dev/null
+++ b/src/daemon/control_loop_tables.cc
@@ -0,0 +1,139 @@
+// The parts of the control loop that turn tables and members into what the data plane and the request engine use.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "daemon/control_loop.h"
+#include "wire/codec.h"
+
+namespace fighatch::daemon {
+namespace {
+
+using std::chrono::seconds;
+
+// How long a data centre that came back is remembered as such: the idle limit of flows.
+constexpr seconds kReturnedFor{300};
+
+bool IsUsable(TargetState state) { return state == TargetState::kServing || state == TargetState::kSuspect; }
+
+}  // namespace
+
+void ControlLoop::TakeTable(const TableUpdate& update, HostId from) {
+  const TimePoint now = DataPlane::Now();
+  const TableKey key{update.m_table.m_service, update.m_table.m_data_centre};
+  const bool relays = m_coordinator.OnTableUpdate(update, from, now);
+  const auto found = m_tables.find(key);
+  const bool is_newer = found == m_tables.end() || found->second.m_table.m_version < update.m_table.m_version;
+  if (is_newer) {
+    m_tables[key] = update;
+    RebuildTables(now);
+  }
+  m_table_senders[key] = relays ? m_options.m_self.m_host : from;
+  if (from == m_coordinator.Elected()) m_table_confirmed = now;
+  SendAck(key, m_table_senders[key]);
+}
+
+void ControlLoop::SendAck(const TableKey& key, HostId to) {
+  TableAck ack;
+  ack.m_host = m_options.m_self.m_host;
+  ack.m_service = key.first;
+  ack.m_data_centre = key.second;
+  ack.m_version = m_tables[key].m_table.m_version;
+  ack.m_base_idle_s = m_parts.m_data_plane->BaseIdleSeconds(key.first, key.second);
+  if (to == m_options.m_self.m_host) {
+    m_coordinator.OnAck(ack, DataPlane::Now());
+  } else {
+    m_parts.m_links->Send(to, MessageType::kTableAck, wire::Encode(ack));
+  }
+}
+
+std::vector<TargetInfo> ControlLoop::AllTargets() const {
+  std::vector<TargetInfo> targets;
+  for (const auto& [key, update] : m_tables) {
+    targets.insert(targets.end(), update.m_targets.begin(), update.m_targets.end());
+  }
+  return targets;
+}
+
+void ControlLoop::RebuildTables(TimePoint now) {
+  m_tables_changed = false;
+  std::vector<OwnerTable> tables;
+  for (const auto& [key, update] : m_tables) tables.push_back(update.m_table);
+  const std::vector<TargetInfo> targets = AllTargets();
+  const std::vector<Member> members = m_membership.AllMembers();
+  const std::vector<DataCentreId> cut_off = CutOffDataCentres(now);
+  std::vector<DataCentreId> returned;
+  for (const auto& [id, at] : m_returned_at) {
+    if (now - at < kReturnedFor) returned.push_back(id);
+  }
+  ForwardingTableInput input;
+  input.m_state = &m_state;
+  input.m_tables = tables;
+  input.m_targets = targets;
+  input.m_members = members;
+  input.m_self = m_options.m_self.m_host;
+  input.m_self_data_centre = m_options.m_self.m_data_centre;
+  input.m_cut_off = cut_off;
+  input.m_returned = returned;
+  input.m_previous = m_table.get();
+  m_table = ForwardingTable::Build(input);
+  std::vector<Endpoint> balancers;
+  for (const Member& member : members) {
+    if (member.m_role == MemberRole::kBalancer) balancers.push_back(member.m_data_endpoint);
+  }
+  m_parts.m_data_plane->SetTable(m_table, std::move(balancers));
+  UpdateRequestTargets();
+  UpdateDetours();
+}
+
+void ControlLoop::UpdateRequestTargets() {
+  std::map<ServiceId, std::vector<TargetInfo>> targets;
+  for (const auto& [name, service] : m_state.m_services) {
+    if (service.m_mode == ServiceMode::kRequest) targets[service.m_id];
+  }
+  for (const auto& [key, update] : m_tables) {
+    const auto found = targets.find(key.first);
+    if (found == targets.end() || key.second != m_options.m_self.m_data_centre) continue;
+    for (const TargetInfo& target : update.m_targets) {
+      if (IsUsable(target.m_state)) found->second.push_back(target);
+      m_allowance.OnTargetIncarnation(target.m_id, target.m_incarnation);
+    }
+  }
+  if (m_requests == nullptr) return;
+  for (const auto& [service, list] : targets) {
+    const auto known = m_request_targets.find(service);
+    if (known != m_request_targets.end() && known->second == list) continue;
+    m_requests->Handle(TargetsChanged{service, list});
+    m_request_targets[service] = list;
+  }
+}
+
+void ControlLoop::UpdateDetours() {
+  // Requests of a service without targets here go to balancers of the data centres that have some.
+  std::map<ServiceId, std::set<DataCentreId>> serving;
+  std::set<DataCentreId> in;
+  for (const auto& [name, data_centre] : m_state.m_data_centres) {
+    if (data_centre.m_state == DataCentreState::kIn) in.insert(data_centre.m_id);
+  }
+  for (const auto& [key, update] : m_tables) {
+    if (!in.contains(key.second)) continue;
+    const auto& list = update.m_targets;
+    if (std::any_of(list.begin(), list.end(), [](const TargetInfo& target) { return IsUsable(target.m_state); })) {
+      serving[key.first].insert(key.second);
+    }
+  }
+  std::map<ServiceId, std::vector<Endpoint>> detours;
+  for (const auto& [service, data_centres] : serving) {
+    if (data_centres.contains(m_options.m_self.m_data_centre)) continue;
+    for (const Member& member : m_membership.AllMembers()) {
+      const bool is_live = member.m_state == MemberState::kAlive && member.m_role == MemberRole::kBalancer;
+      if (is_live && data_centres.contains(member.m_data_centre)) detours[service].push_back(member.m_data_endpoint);
+    }
+  }
+  m_parts.m_data_plane->SetDetours(std::move(detours));
+}
+
+}  // namespace fighatch::daemon
--- /dev/null
+++ b/src/daemon/packet_counters.h
@@ -0,0 +1,33 @@
+#ifndef FIGHATCH_DAEMON_PACKET_COUNTERS_H_
+#define FIGHATCH_DAEMON_PACKET_COUNTERS_H_
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+
+#include "fighatch/error.h"
+
+namespace fighatch::daemon {
+
+/// Counts of the data plane; written by the receive threads and read by the metrics page.
+struct PacketCounters {
+  /// Codes 1000 to 1000 + size - 1.
+  static constexpr std::size_t kCodes = 16;
+
+  std::atomic<std::uint64_t> m_received{0};
+  std::atomic<std::uint64_t> m_to_targets{0};
+  std::atomic<std::uint64_t> m_to_balancers{0};
+  std::atomic<std::uint64_t> m_to_requests{0};
+  std::atomic<std::uint64_t> m_resets{0};
+  std::array<std::atomic<std::uint64_t>, kCodes> m_dropped{};
+
+  /// Counts a dropped packet under its code.
+  void CountDrop(ErrorCode code) noexcept {
+    const std::size_t index = static_cast<std::size_t>(code) % 1000;
+    if (index < kCodes) m_dropped[index].fetch_add(1, std::memory_order_relaxed);
+  }
+};
+
+}  // namespace fighatch::daemon
+
+#endif  // FIGHATCH_DAEMON_PACKET_COUNTERS_H_
--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -37,8 +37,8 @@
 
 void StartLogging(std::string_view program) {
   FLAGS_logtostderr = true;
-  static const std::string name(program);  // glog keeps the pointer.
-  google::InitGoogleLogging(name.c_str());
+  static const std::string kName(program);  // glog keeps the pointer.
+  google::InitGoogleLogging(kName.c_str());
 }
 
 Result<std::string> ReadSettingsFile(const std::string& path) { return config::ReadTextFile(path); }
--- /dev/null
+++ b/src/daemon/state_follower.cc
@@ -0,0 +1,73 @@
+#include "daemon/state_follower.h"
+
+#include <glog/logging.h>
+
+#include <boost/fiber/operations.hpp>
+#include <utility>
+
+#include "io/http_client.h"
+
+namespace fighatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Above the longest poll that a control host holds open.
+constexpr milliseconds kPollTimeout{2500};
+constexpr milliseconds kRetryDelay{100};
+
+}  // namespace
+
+StateFollower::StateFollower(HostId host, std::vector<Endpoint> control_hosts, StateDocument state, OnChange on_change)
+    : m_host(host), m_control_hosts(std::move(control_hosts)), m_state(std::move(state)), m_on_change(std::move(on_change)) {}
+
+void StateFollower::Run() {
+  // Hosts start at different control hosts, so that polls are spread.
+  std::size_t index = m_host.m_value;
+  while (!m_stopping && !m_control_hosts.empty()) {
+    if (Ask(m_control_hosts[index % m_control_hosts.size()])) continue;
+    ++index;
+    boost::this_fiber::sleep_for(kRetryDelay);
+  }
+}
+
+bool StateFollower::Ask(const Endpoint& control_host) {
+  const Version from = m_ask_for_snapshot ? Version{} : m_state.m_version;
+  HttpRequest request;
+  request.m_path = "/v1/delta?epoch=" + std::to_string(from.m_epoch) + "&generation=" +
+                   std::to_string(from.m_generation) + "&host=" + std::to_string(m_host.m_value);
+  const auto response = io::HttpExchange(control_host, request, steady_clock::now() + kPollTimeout);
+  if (!IsOk(response) || ValueOf(response).m_status != 200) {
+    LOG_EVERY_N(WARNING, 50) << "event=state_poll_failed control_host=" << ToString(control_host) << " "
+                             << (IsOk(response) ? "status=" + std::to_string(ValueOf(response).m_status)
+                                                : ToString(ErrorOf(response)));
+    return false;
+  }
+  m_last_heard = steady_clock::now();
+  if (!ValueOf(response).m_body.empty()) Apply(ValueOf(response).m_body);
+  return true;
+}
+
+void StateFollower::Apply(const std::string& body) {
+  m_received_bytes += body.size();
+  const Result<StateDelta> delta = DecodeDelta(std::as_bytes(std::span(body)));
+  if (!IsOk(delta)) {
+    LOG(WARNING) << "event=delta_refused " << ToString(ErrorOf(delta));
+    return;
+  }
+  const Version before = m_state.m_version;
+  const Status applied = ApplyDelta(ValueOf(delta), &m_state);
+  m_ask_for_snapshot = !IsOk(applied);
+  if (!IsOk(applied)) {
+    LOG(WARNING) << "event=delta_refused " << ToString(ErrorOf(applied));
+    return;
+  }
+  if (m_state.m_version <= before) return;
+  LOG(INFO) << "event=state_applied epoch=" << m_state.m_version.m_epoch
+            << " generation=" << m_state.m_version.m_generation << " snapshot=" << ValueOf(delta).m_snapshot.has_value()
+            << " bytes=" << body.size();
+  m_on_change(m_state);
+}
+
+}  // namespace fighatch::daemon
--- /dev/null
+++ b/src/daemon/target_connections.cc
@@ -0,0 +1,43 @@
+#include "daemon/target_connections.h"
+
+#include <utility>
+
+namespace fighatch::daemon {
+namespace {
+
+using std::chrono::steady_clock;
+
+// Shorter than the idle time after which common servers close, so that a request is not written to a closing connection.
+constexpr std::chrono::seconds kIdleLimit{5};
+constexpr std::size_t kIdlePerTarget = 4;
+
+}  // namespace
+
+Result<io::HttpConnection> TargetConnections::Acquire(const Endpoint& endpoint, io::Deadline deadline) {
+  std::vector<Idle>& idle = m_idle[endpoint];
+  while (!idle.empty()) {
+    Idle entry = std::move(idle.back());
+    idle.pop_back();
+    if (steady_clock::now() - entry.m_since < kIdleLimit && entry.m_connection.IsIdleAndAlive()) {
+      return std::move(entry.m_connection);
+    }
+  }
+  return io::HttpConnection::Open(endpoint, deadline);
+}
+
+void TargetConnections::Release(const Endpoint& endpoint, io::HttpConnection connection) {
+  if (!connection.IsOpen()) return;
+  std::vector<Idle>& idle = m_idle[endpoint];
+  if (idle.size() < kIdlePerTarget) idle.push_back({std::move(connection), steady_clock::now()});
+}
+
+void TargetConnections::Attach(ExchangeId exchange, io::HttpConnection* connection) { m_in_use[exchange] = connection; }
+
+void TargetConnections::Detach(ExchangeId exchange) { m_in_use.erase(exchange); }
+
+void TargetConnections::Cancel(ExchangeId exchange) {
+  const auto found = m_in_use.find(exchange);
+  if (found != m_in_use.end()) found->second->Shutdown();
+}
+
+}  // namespace fighatch::daemon
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -1,6 +1,9 @@
 #include "io/http_client.h"
 
+#include <sys/socket.h>
+
 #include <array>
+#include <cerrno>
 
 namespace fighatch::io {
 namespace {
@@ -40,6 +43,17 @@
   }
 }
 
+bool HttpConnection::IsIdleAndAlive() const noexcept {
+  if (!m_stream.IsOpen()) return false;
+  char byte = 0;
+  const ssize_t count = recv(m_stream.Fd(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpConnection::Shutdown() noexcept {
+  if (m_stream.IsOpen()) shutdown(m_stream.Fd(), SHUT_RDWR);
+}
+
 Result<HttpResponse> HttpExchange(const Endpoint& remote, const HttpRequest& request, Deadline deadline) {
   Result<HttpConnection> connection = HttpConnection::Open(remote, deadline);
   if (!IsOk(connection)) return ErrorOf(connection);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -20,6 +20,10 @@
 
   [[nodiscard]] bool IsOpen() const noexcept { return m_stream.IsOpen(); }
   void Close() noexcept { m_stream.Close(); }
+  /// True if the server has neither closed the connection nor sent anything unasked.
+  [[nodiscard]] bool IsIdleAndAlive() const noexcept;
+  /// Ends an exchange that another fiber waits for; that call returns `kIoClosed`.
+  void Shutdown() noexcept;
 
  private:
   explicit HttpConnection(TcpStream stream) noexcept : m_stream(std::move(stream)) {}
--- a/src/io/udp_socket.cc
+++ b/src/io/udp_socket.cc
@@ -25,7 +25,7 @@
 UdpSocket::UdpSocket(FileDescriptor fd, const Endpoint& local, const UdpOptions& options)
     : m_fd(std::move(fd)), m_local(local), m_options(options) {
   m_options.m_batch = std::clamp<std::size_t>(options.m_batch, 1, kReceiveBatchLimit);
-  m_buffer.resize(m_options.m_batch * m_options.m_datagram_bytes);
+  m_buffer.resize(m_options.m_batch * (m_options.m_headroom_bytes + m_options.m_datagram_bytes));
   m_received.resize(m_options.m_batch);
 }
 
@@ -51,8 +51,9 @@
   std::array<iovec, kReceiveBatchLimit> vectors;
   std::array<sockaddr_storage, kReceiveBatchLimit> sources;
   const std::size_t batch = m_options.m_batch;
+  const std::size_t stride = m_options.m_headroom_bytes + m_options.m_datagram_bytes;
   for (std::size_t index = 0; index < batch; ++index) {
-    vectors[index] = {m_buffer.data() + index * m_options.m_datagram_bytes, m_options.m_datagram_bytes};
+    vectors[index] = {m_buffer.data() + index * stride + m_options.m_headroom_bytes, m_options.m_datagram_bytes};
     headers[index] = {};
     headers[index].msg_hdr.msg_iov = &vectors[index];
     headers[index].msg_hdr.msg_iovlen = 1;
@@ -65,7 +66,7 @@
     if ((headers[index].msg_hdr.msg_flags & MSG_TRUNC) != 0) continue;
     SocketAddress source;
     source.m_storage = sources[index];
-    const auto* bytes = static_cast<const std::byte*>(vectors[index].iov_base);
+    auto* bytes = static_cast<std::byte*>(vectors[index].iov_base);
     m_received[kept++] = {FromSocketAddress(source), {bytes, headers[index].msg_len}};
   }
   return kept;
--- a/src/io/udp_socket.h
+++ b/src/io/udp_socket.h
@@ -21,10 +21,10 @@
   std::span<const std::byte> m_bytes;
 };
 
-/// A received datagram: the bytes are valid until the next receive call on the same socket.
+/// A received datagram: the bytes are valid, and may be changed, until the next receive call on the same socket.
 struct IncomingDatagram {
   Endpoint m_source;
-  std::span<const std::byte> m_bytes;
+  std::span<std::byte> m_bytes;
 };
 
 /// How a UDP socket is opened.
@@ -35,6 +35,8 @@
   std::size_t m_batch = 32;
   /// Room for one datagram in bytes; a longer one is dropped.
   std::size_t m_datagram_bytes = 2048;
+  /// Bytes in front of each datagram that may be written, so that a longer header can replace the one received.
+  std::size_t m_headroom_bytes = 0;
   /// Size of the kernel's buffers in bytes; 0 keeps the default.
   int m_kernel_buffer_bytes = 4 << 20;
 };
--- a/src/observe/tracer.cc
+++ b/src/observe/tracer.cc
@@ -97,8 +97,8 @@
 }
 
 const TraceContext& Span::Context() const noexcept {
-  static const TraceContext none;
-  return m_impl ? m_impl->m_context : none;
+  static const TraceContext kNone;
+  return m_impl ? m_impl->m_context : kNone;
 }
 
 class Tracer::Impl {
