Add membership with probing, refutation and list exchange

Cause: balancers need to notice a dead member within 2 s and to agree on who is live, under loss, partitions and restarts.

Change: SWIM-style core. Even periods probe the next member on a hash ring, so that each member is probed every 400 ms; odd periods probe in random order. Suspicions carry their age, so that all declare a death at the same moment. Digests of the lists repair what gossip missed. Coordinators exchange the lists of data centres.

--- a/include/fighatch/random.h
+++ b/include/fighatch/random.h
@@ -14,7 +14,8 @@
 
   explicit Random(std::uint64_t seed) noexcept : m_state(seed) {}
 
-  [[nodiscard]] static constexpr std::uint64_t min() noexcept { return 0; }
+  [[nodiscard]] static constexpr std::uint64_t min() noexcept { return 0; }  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
   [[nodiscard]] static constexpr std::uint64_t max() noexcept { return std::numeric_limits<std::uint64_t>::max(); }
 
   /// The next 64 random bits.
--- /dev/null
+++ b/src/membership/list_exchange.cc
@@ -0,0 +1,182 @@
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "membership/membership_impl.h"
+
+namespace fighatch {
+
+using membership::IsLive;
+using membership::MemberListMessage;
+using membership::MemberUpdate;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kPushFanout = 3;
+constexpr std::size_t kUpdatesPerPush = 14;
+constexpr Duration kPushInterval = milliseconds(20);
+/// A list that has not changed for this long differs from another's for another reason than news under way.
+constexpr Duration kDifferenceTime = milliseconds(1000);
+constexpr Duration kAskInterval = milliseconds(2000);
+constexpr Duration kBridgeSilence = std::chrono::seconds(2);
+/// Datagrams a second spent on whole lists, and how many may go at once.
+constexpr double kListRate = 200;
+constexpr double kListBurst = 200;
+
+}  // namespace
+
+Result<MembershipActions> Membership::Impl::Receive(TimePoint now, HostId sender, const Endpoint& source,
+                                                    MessageType type, std::span<const std::byte> payload) {
+  const auto run = [&](auto message, auto handle) -> Result<MembershipActions> {
+    if (!IsOk(message)) return ErrorOf(message);
+    AdvanceTo(now, false);
+    Heard(sender);
+    handle(ValueOf(message));
+    return Finish();
+  };
+  if (type == MessageType::kProbe)
+    return run(membership::DecodeProbe(payload), [&](const auto& message) { OnProbe(sender, source, message); });
+  if (type == MessageType::kProbeAck)
+    return run(membership::DecodeProbeAck(payload), [&](const auto& message) { OnProbeAck(message); });
+  if (type == MessageType::kProbeRequest)
+    return run(membership::DecodeProbeRequest(payload),
+               [&](const auto& message) { OnProbeRequest(sender, source, message); });
+  if (type == MessageType::kMemberList)
+    return run(membership::DecodeMemberList(payload),
+               [&](const auto& message) { OnMemberList(sender, source, message); });
+  return MakeError(ErrorCode::kMessageUnknownType, std::string(MessageTypeText(type)));
+}
+
+void Membership::Impl::SendMessage(const Endpoint& destination, HostId receiver, MessageType type,
+                                   std::vector<std::byte> payload) {
+  m_actions.m_messages.push_back({destination, receiver, type, std::move(payload)});
+}
+
+void Membership::Impl::PushChanges() {
+  m_next_push = m_now + kPushInterval;
+  const std::size_t count = std::min(m_unpushed, kUpdatesPerPush);
+  m_unpushed -= count;
+  const std::vector<Member> peers = RandomPeers(kPushFanout, m_self.m_host);
+  if (peers.empty()) return;
+  MemberListMessage message{m_self.m_data_centre, {}, {{}, {}}};
+  for (const HostId host : m_queue.Take(count, m_table.Records().size())) {
+    if (const auto update = UpdateFor(host)) message.m_piggyback.m_updates.push_back(*update);
+  }
+  if (message.m_piggyback.m_updates.empty()) return;
+  for (const Member& peer : peers)
+    SendMessage(peer.m_control_endpoint, peer.m_host, MessageType::kMemberList, membership::Encode(message));
+}
+
+void Membership::Impl::SendList(const Endpoint& destination, HostId receiver, DataCentreId data_centre,
+                                bool with_ended) {
+  const std::chrono::duration<double> passed = m_now - std::exchange(m_budget_at, m_now);
+  m_list_budget = std::min(kListBurst, m_list_budget + passed.count() * kListRate + (m_period == 0 ? kListBurst : 0));
+  std::vector<MemberUpdate> updates;
+  if (data_centre == m_self.m_data_centre) updates.push_back(SelfUpdate());
+  for (const auto& [host, record] : m_table.Records()) {
+    if (record.Get().m_data_centre != data_centre || record.m_unconfirmed) continue;
+    if (IsLive(record.Get().m_state) || with_ended) updates.push_back(*UpdateFor(host));
+  }
+  for (std::size_t start = 0; start < updates.size(); start += membership::kMaxUpdatesPerMessage) {
+    if (m_list_budget < 1) return;
+    m_list_budget -= 1;
+    const std::size_t end = std::min(updates.size(), start + membership::kMaxUpdatesPerMessage);
+    MemberListMessage message{m_self.m_data_centre, {}, {}};
+    message.m_piggyback.m_updates.assign(updates.begin() + static_cast<std::ptrdiff_t>(start),
+                                         updates.begin() + static_cast<std::ptrdiff_t>(end));
+    SendMessage(destination, receiver, MessageType::kMemberList, membership::Encode(message));
+  }
+}
+
+void Membership::Impl::CompareDigests(HostId sender, const Endpoint& source,
+                                      const std::vector<membership::ListDigest>& digests) {
+  for (const membership::ListDigest& digest : digests) {
+    if (digest.m_digest == DigestOf(digest.m_data_centre)) continue;
+    const bool is_settled = m_now - m_changed_at[digest.m_data_centre] >= kDifferenceTime;
+    const bool is_unknown = m_table.Find(sender) == nullptr && digest.m_data_centre == m_self.m_data_centre;
+    if (is_settled || is_unknown) AskForList(sender, source, digest.m_data_centre);
+  }
+}
+
+void Membership::Impl::AskForList(HostId receiver, const Endpoint& destination, DataCentreId data_centre) {
+  const auto asked = m_asked_at.find(data_centre);
+  if (asked != m_asked_at.end() && m_now - asked->second < kAskInterval) return;
+  m_asked_at[data_centre] = m_now;
+  const MemberListMessage message{m_self.m_data_centre, {data_centre}, {}};
+  SendMessage(destination, receiver, MessageType::kMemberList, membership::Encode(message));
+}
+
+void Membership::Impl::OnMemberList(HostId sender, const Endpoint& source, const MemberListMessage& message) {
+  Apply(message.m_piggyback);
+  const bool is_remote = message.m_sender_data_centre != m_self.m_data_centre;
+  if (is_remote) m_heard_from[message.m_sender_data_centre] = m_now;
+  for (const DataCentreId wanted : message.m_wanted) SendList(source, sender, wanted, is_remote);
+  if (!is_remote) return;
+  for (const membership::ListDigest& digest : message.m_piggyback.m_digests) {
+    const bool differs = digest.m_digest != DigestOf(digest.m_data_centre);
+    // Each side asks for the list of the other's data centre only: nobody knows its own better.
+    if (differs && digest.m_data_centre == message.m_sender_data_centre)
+      AskForList(sender, source, digest.m_data_centre);
+  }
+}
+
+bool Membership::Impl::IsBridge() const {
+  if (const auto coordinator = CoordinatorOf(m_self.m_data_centre)) return coordinator->m_host == m_self.m_host;
+  const std::vector<Member> live = LiveMembersOf(m_self.m_data_centre);
+  return !live.empty() && live.front().m_host == m_self.m_host;
+}
+
+std::vector<DataCentreId> Membership::Impl::OtherDataCentres() const {
+  std::set<DataCentreId> others;
+  for (const auto& [host, record] : m_table.Records()) {
+    if (record.Get().m_data_centre != m_self.m_data_centre) others.insert(record.Get().m_data_centre);
+  }
+  return {others.begin(), others.end()};
+}
+
+std::optional<Member> Membership::Impl::BridgeTarget(DataCentreId data_centre) {
+  const auto heard = LastHeardFrom(data_centre);
+  if (heard && m_now - *heard < kBridgeSilence) {
+    if (auto coordinator = CoordinatorOf(data_centre)) return coordinator;
+  }
+  // Its coordinator may have ended without the news reaching this data centre.
+  const std::vector<Member> live = LiveMembersOf(data_centre);
+  if (live.empty()) return std::nullopt;
+  return live[m_random.Below(live.size())];
+}
+
+std::optional<Endpoint> Membership::Impl::UnknownEndpoint(const std::vector<Endpoint>& endpoints) {
+  std::set<Endpoint> known = {m_self.m_control_endpoint};
+  for (const auto& [host, record] : m_table.Records()) {
+    if (IsLive(record.Get().m_state)) known.insert(record.Get().m_control_endpoint);
+  }
+  std::vector<Endpoint> unknown;
+  std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(unknown),
+               [&known](const Endpoint& endpoint) { return !known.contains(endpoint); });
+  if (unknown.empty()) return std::nullopt;
+  return unknown[m_random.Below(unknown.size())];
+}
+
+void Membership::Impl::BridgeDataCentres(bool with_digests) {
+  const std::set<HostId> changed = std::exchange(m_bridge_pending, {});
+  if ((changed.empty() && !with_digests) || !IsBridge()) return;
+  MemberListMessage message{m_self.m_data_centre, {}, {}};
+  if (with_digests) message.m_piggyback.m_digests = {{m_self.m_data_centre, DigestOf(m_self.m_data_centre)}};
+  for (const HostId host : changed) {
+    // What does not fit is found by the digest.
+    if (message.m_piggyback.m_updates.size() >= membership::kMaxUpdatesPerMessage) break;
+    if (const auto update = UpdateFor(host)) message.m_piggyback.m_updates.push_back(*update);
+  }
+  const std::vector<std::byte> payload = membership::Encode(message);
+  for (const DataCentreId other : OtherDataCentres()) {
+    if (const auto target = BridgeTarget(other))
+      SendMessage(target->m_control_endpoint, target->m_host, MessageType::kMemberList, payload);
+  }
+  const std::optional<Endpoint> contact = with_digests ? UnknownEndpoint(m_settings.m_contacts) : std::nullopt;
+  if (contact) SendMessage(*contact, HostId{}, MessageType::kMemberList, payload);
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/membership/membership_impl.cc
@@ -0,0 +1,254 @@
+#include "membership/membership_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fighatch {
+
+using membership::IsLive;
+using membership::MemberRecord;
+using membership::MemberUpdate;
+using membership::MergeOutcome;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A gap between ticks above this means that this process was paused or its clock jumped; nothing can be said about the
+/// others from silence in that time.
+constexpr Duration kPauseAfter = std::chrono::seconds(1);
+
+/// How long a member that this host holds alive may still refute a death that others report. Without it, a healed
+/// partition makes each side take its own members for dead until they have refuted.
+constexpr Duration kDeathGrace = milliseconds(250);
+
+}  // namespace
+
+Membership::Impl::Impl(const MembershipSettings& settings, Random random)
+    : m_settings(settings), m_random(random), m_self(settings.m_self) {
+  m_self.m_state = MemberState::kAlive;
+  m_queue.Add(m_self.m_host);
+}
+
+void Membership::Impl::AdvanceTo(TimePoint now, bool is_tick) {
+  if (!m_is_started) {
+    m_is_started = true;
+    m_now = m_last_tick = m_last_heard = m_last_heard_near = m_budget_at = m_next_push = now;
+    const auto period = static_cast<std::uint64_t>(m_settings.m_probe_period.count());
+    m_period_end = now + Duration(static_cast<Duration::rep>(m_random.Below(period)));
+  }
+  m_now = std::max(m_now, now);
+  if (m_now - m_last_tick > kPauseAfter) SkipPause(m_now - m_last_tick);
+  if (is_tick) m_last_tick = m_now;
+}
+
+void Membership::Impl::SkipPause(Duration pause) {
+  m_probe.reset();
+  m_relays.clear();
+  m_last_heard += pause;
+  m_last_heard_near += pause;
+  m_last_tick = m_now;
+  m_period_end = m_now;
+  for (const HostId host : m_suspects) {
+    const MemberRecord* record = m_table.Find(host);
+    if (record != nullptr)
+      m_table.SetState(host, MemberState::kSuspect, record->m_since + pause, record->m_unconfirmed);
+  }
+}
+
+MembershipActions Membership::Impl::Finish() {
+  if (m_unpushed > 0 && m_now >= m_next_push) PushChanges();
+  if (m_is_table_changed) EmitCoordinatorChange();
+  return std::exchange(m_actions, {});
+}
+
+void Membership::Impl::Emit(MembershipEventKind kind, const Member& member) {
+  m_actions.m_events.push_back({kind, member});
+}
+
+void Membership::Impl::EmitCoordinatorChange() {
+  m_is_table_changed = false;
+  const std::optional<Member> coordinator = CoordinatorOf(m_self.m_data_centre);
+  const auto host_of = [](const std::optional<Member>& member) { return member ? member->m_host : HostId{}; };
+  if (host_of(coordinator) != host_of(m_coordinator))
+    Emit(MembershipEventKind::kCoordinatorChanged, coordinator.value_or(Member{}));
+  m_coordinator = coordinator;
+}
+
+void Membership::Impl::Apply(const membership::Piggyback& piggyback) {
+  for (const MemberUpdate& update : piggyback.m_updates) ApplyUpdate(update);
+}
+
+void Membership::Impl::ApplyUpdate(MemberUpdate update) {
+  const HostId host = update.m_member.m_host;
+  if (host == m_self.m_host) return ApplySelf(update);
+  SoftenDeath(&update);
+  const MemberRecord* known = m_table.Find(host);
+  const std::optional<Member> before = known != nullptr ? std::optional(known->Get()) : std::nullopt;
+  switch (m_table.Merge(m_now, update)) {
+    case MergeOutcome::kApplied:
+      EmitChange(before, update.m_member);
+      Spread(host);
+      break;
+    case MergeOutcome::kOlder:
+      // The sender believes in an end that the member has refuted: tell the refutation again.
+      if (!IsLive(update.m_member.m_state) && before->m_state == MemberState::kAlive) m_queue.Add(host);
+      break;
+    case MergeOutcome::kEqual:
+    case MergeOutcome::kIgnored:
+      break;
+  }
+}
+
+void Membership::Impl::SoftenDeath(MemberUpdate* update) const {
+  const Member& member = update->m_member;
+  if (member.m_state != MemberState::kDead || member.m_data_centre != m_self.m_data_centre) return;
+  const MemberRecord* known = m_table.Find(member.m_host);
+  if (known == nullptr || known->Get().m_state != MemberState::kAlive) return;
+  update->m_member.m_state = MemberState::kSuspect;
+  const Duration age = std::max(m_settings.m_suspicion - kDeathGrace, Duration(0));
+  update->m_suspicion_age_ms = static_cast<std::uint16_t>(std::chrono::duration_cast<milliseconds>(age).count());
+}
+
+void Membership::Impl::ApplySelf(const MemberUpdate& update) {
+  if (m_self.m_state == MemberState::kLeft) return;
+  if (update.m_member.m_incarnation > m_self.m_incarnation) {
+    if (!m_is_superseded) Emit(MembershipEventKind::kSuperseded, update.m_member);
+    m_is_superseded = true;
+    return;
+  }
+  if (update.Rank() <= SelfUpdate().Rank()) return;
+  m_revision = update.m_revision + 1;
+  Spread(m_self.m_host);
+}
+
+void Membership::Impl::EmitChange(const std::optional<Member>& before, const Member& after) {
+  const bool was_live = before && IsLive(before->m_state);
+  const bool is_live = IsLive(after.m_state);
+  if (!was_live && is_live) return Emit(MembershipEventKind::kJoined, after);
+  if (was_live && after.m_state == MemberState::kDead) return Emit(MembershipEventKind::kDied, after);
+  if (was_live && after.m_state == MemberState::kLeft) return Emit(MembershipEventKind::kLeft, after);
+  if (!was_live) return;
+  if (before->m_incarnation != after.m_incarnation) return Emit(MembershipEventKind::kRestarted, after);
+  if (after.m_state == MemberState::kSuspect) return Emit(MembershipEventKind::kSuspected, after);
+  if (before->m_state == MemberState::kSuspect) return Emit(MembershipEventKind::kRefuted, after);
+  Emit(MembershipEventKind::kChanged, after);
+}
+
+void Membership::Impl::Spread(HostId host) {
+  const std::optional<Member> member = Find(host);
+  m_queue.Add(host);
+  if (member->m_data_centre == m_self.m_data_centre) ++m_unpushed;
+  NoteChanged(host, member->m_data_centre);
+}
+
+void Membership::Impl::NoteChanged(HostId host, DataCentreId data_centre) {
+  m_is_table_changed = true;
+  m_changed_at[data_centre] = m_now;
+  if (data_centre != m_self.m_data_centre) return;
+  const std::optional<Member> member = Find(host);
+  const bool is_suspect = member && member->m_state == MemberState::kSuspect;
+  if (is_suspect) m_suspects.insert(host);
+  if (!is_suspect) m_suspects.erase(host);
+  if (!is_suspect) m_bridge_pending.insert(host);
+}
+
+MemberUpdate Membership::Impl::SelfUpdate() const { return {m_self, m_revision, 0}; }
+
+std::optional<MemberUpdate> Membership::Impl::UpdateFor(HostId host) const {
+  if (host == m_self.m_host) return SelfUpdate();
+  const MemberRecord* record = m_table.Find(host);
+  if (record == nullptr || record->m_unconfirmed) return std::nullopt;
+  return membership::MemberTable::UpdateOf(*record, m_now);
+}
+
+membership::Piggyback Membership::Impl::MakePiggyback(HostId receiver, std::size_t count) {
+  membership::Piggyback piggyback{Digests(), {}};
+  const MemberRecord* known = m_table.Find(receiver);
+  // A receiver that is not held alive must learn of it to refute, and may not know this host either.
+  if (known == nullptr || known->Get().m_state != MemberState::kAlive) {
+    piggyback.m_updates.push_back(SelfUpdate());
+    if (const auto update = UpdateFor(receiver)) piggyback.m_updates.push_back(*update);
+  }
+  for (const HostId host : m_queue.Take(count, m_table.Records().size())) {
+    if (const auto update = UpdateFor(host)) piggyback.m_updates.push_back(*update);
+  }
+  return piggyback;
+}
+
+std::uint64_t Membership::Impl::DigestOf(DataCentreId data_centre) const {
+  const std::uint64_t own =
+      data_centre == m_self.m_data_centre ? membership::MemberTable::DigestShare(SelfUpdate()) : 0;
+  return m_table.DigestOf(data_centre) + own;
+}
+
+std::vector<membership::ListDigest> Membership::Impl::Digests() const {
+  std::vector<membership::ListDigest> digests = {{m_self.m_data_centre, DigestOf(m_self.m_data_centre)}};
+  for (const auto& [data_centre, digest] : m_table.Digests()) {
+    if (digests.size() >= membership::kMaxDigests) break;
+    if (data_centre != m_self.m_data_centre) digests.push_back({data_centre, digest});
+  }
+  return digests;
+}
+
+MembershipActions Membership::Impl::SetKeeperReady(TimePoint now, bool ready) {
+  AdvanceTo(now, false);
+  if (m_self.m_keeper_ready != ready) {
+    m_self.m_keeper_ready = ready;
+    ++m_revision;
+    Spread(m_self.m_host);
+  }
+  return Finish();
+}
+
+MembershipActions Membership::Impl::Leave(TimePoint now) {
+  AdvanceTo(now, false);
+  if (m_self.m_state != MemberState::kLeft) {
+    m_self.m_state = MemberState::kLeft;
+    ++m_revision;
+    Spread(m_self.m_host);
+  }
+  return Finish();
+}
+
+std::vector<Member> Membership::Impl::LiveMembersOf(DataCentreId data_centre) const {
+  std::vector<Member> members;
+  for (const Member& member : AllMembers()) {
+    if (member.m_data_centre == data_centre && IsLive(member.m_state)) members.push_back(member);
+  }
+  return members;
+}
+
+std::vector<Member> Membership::Impl::AllMembers() const {
+  std::vector<Member> members = {m_self};
+  for (const auto& [host, record] : m_table.Records()) members.push_back(record.Get());
+  std::sort(members.begin(), members.end(),
+            [](const Member& left, const Member& right) { return left.m_host < right.m_host; });
+  return members;
+}
+
+std::optional<Member> Membership::Impl::Find(HostId host) const {
+  if (host == m_self.m_host) return m_self;
+  const MemberRecord* record = m_table.Find(host);
+  return record != nullptr ? std::optional(record->Get()) : std::nullopt;
+}
+
+std::optional<Member> Membership::Impl::CoordinatorOf(DataCentreId data_centre) const {
+  const auto fits = [data_centre](const Member& member) {
+    return member.m_data_centre == data_centre && member.m_role == MemberRole::kBalancer && IsLive(member.m_state);
+  };
+  std::optional<Member> lowest;
+  if (fits(m_self)) lowest = m_self;
+  for (const auto& [host, record] : m_table.Records()) {
+    if (lowest && lowest->m_host < host) break;
+    if (fits(record.Get())) return record.Get();
+  }
+  return lowest;
+}
+
+std::optional<TimePoint> Membership::Impl::LastHeardFrom(DataCentreId data_centre) const {
+  const auto found = m_heard_from.find(data_centre);
+  return found != m_heard_from.end() ? std::optional(found->second) : std::nullopt;
+}
+
+}  // namespace fighatch
--- /dev/null
+++ b/src/membership/membership_impl.h
@@ -0,0 +1,147 @@
+#ifndef FIGHATCH_MEMBERSHIP_MEMBERSHIP_IMPL_H_
+#define FIGHATCH_MEMBERSHIP_MEMBERSHIP_IMPL_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "fighatch/membership.h"
+#include "membership/member_table.h"
+#include "membership/update_queue.h"
+
+namespace fighatch {
+
+/// The state behind `Membership`. Probing is in failure_detector.cc, merging of updates in membership_impl.cc, and
+/// lists in list_exchange.cc.
+class Membership::Impl {
+ public:
+  Impl(const MembershipSettings& settings, Random random);
+
+  [[nodiscard]] MembershipActions Tick(TimePoint now);
+  [[nodiscard]] TimePoint NextDeadline() const;
+  [[nodiscard]] Result<MembershipActions> Receive(TimePoint now, HostId sender, const Endpoint& source,
+                                                  MessageType type, std::span<const std::byte> payload);
+  [[nodiscard]] MembershipActions SetKeeperReady(TimePoint now, bool ready);
+  [[nodiscard]] MembershipActions Leave(TimePoint now);
+
+  [[nodiscard]] const Member& Self() const noexcept { return m_self; }
+  [[nodiscard]] std::vector<Member> LiveMembersOf(DataCentreId data_centre) const;
+  [[nodiscard]] std::vector<Member> AllMembers() const;
+  [[nodiscard]] std::optional<Member> Find(HostId host) const;
+  [[nodiscard]] std::optional<Member> CoordinatorOf(DataCentreId data_centre) const;
+  [[nodiscard]] std::optional<TimePoint> LastHeardFrom(DataCentreId data_centre) const;
+  [[nodiscard]] bool IsIsolated(TimePoint now, Duration silence) const { return now - m_last_heard >= silence; }
+
+ private:
+  /// The probe of the present period.
+  struct OutstandingProbe {
+    std::uint32_t m_number = 0;
+    HostId m_target;
+    TimePoint m_retry_at;
+    int m_retries_left = 0;
+    bool m_answered = false;
+  };
+  /// A probe made for another member.
+  struct Relay {
+    std::uint32_t m_requested_number = 0;
+    HostId m_requester;
+    Endpoint m_requester_endpoint;
+    TimePoint m_expires;
+  };
+
+  // Time and results.
+  void AdvanceTo(TimePoint now, bool is_tick);
+  void SkipPause(Duration pause);
+  [[nodiscard]] MembershipActions Finish();
+  void Emit(MembershipEventKind kind, const Member& member);
+  void EmitCoordinatorChange();
+
+  // Merging of updates.
+  void Apply(const membership::Piggyback& piggyback);
+  void ApplyUpdate(membership::MemberUpdate update);
+  void ApplySelf(const membership::MemberUpdate& update);
+  void EmitChange(const std::optional<Member>& before, const Member& after);
+  void Spread(HostId host);
+  void NoteChanged(HostId host, DataCentreId data_centre);
+  void SoftenDeath(membership::MemberUpdate* update) const;
+  [[nodiscard]] membership::MemberUpdate SelfUpdate() const;
+  [[nodiscard]] std::optional<membership::MemberUpdate> UpdateFor(HostId host) const;
+  [[nodiscard]] membership::Piggyback MakePiggyback(HostId receiver, std::size_t count);
+  [[nodiscard]] std::vector<membership::ListDigest> Digests() const;
+  [[nodiscard]] std::uint64_t DigestOf(DataCentreId data_centre) const;
+
+  // Probing.
+  void EndPeriod();
+  void StartProbe();
+  void RetryProbe();
+  void ExpireSuspicions();
+  void Suspect(HostId host);
+  void ProbeOthers();
+  void ProbeSeed();
+  void ProbeDeadMember();
+  void SendProbe(const Endpoint& destination, HostId receiver, std::uint32_t number);
+  [[nodiscard]] std::optional<Member> NextOnRing() const;
+  [[nodiscard]] std::optional<Member> NextInRandomOrder();
+  [[nodiscard]] std::vector<Member> RandomPeers(std::size_t count, HostId except);
+  void OnProbe(HostId sender, const Endpoint& source, const membership::ProbeMessage& message);
+  void OnProbeAck(const membership::ProbeAckMessage& message);
+  void OnProbeRequest(HostId sender, const Endpoint& source, const membership::ProbeRequestMessage& message);
+  void OnMemberList(HostId sender, const Endpoint& source, const membership::MemberListMessage& message);
+  void Heard(HostId sender);
+  void HeardNear();
+  /// True if a failed probe says more about this host than about its target.
+  [[nodiscard]] bool IsDoubtful() const;
+
+  // Lists.
+  void PushChanges();
+  void SendList(const Endpoint& destination, HostId receiver, DataCentreId data_centre, bool with_ended);
+  void SendMessage(const Endpoint& destination, HostId receiver, MessageType type, std::vector<std::byte> payload);
+  void CompareDigests(HostId sender, const Endpoint& source, const std::vector<membership::ListDigest>& digests);
+  void AskForList(HostId receiver, const Endpoint& destination, DataCentreId data_centre);
+  void BridgeDataCentres(bool with_digests);
+  [[nodiscard]] bool IsBridge() const;
+  [[nodiscard]] std::vector<DataCentreId> OtherDataCentres() const;
+  [[nodiscard]] std::optional<Member> BridgeTarget(DataCentreId data_centre);
+  [[nodiscard]] std::optional<Endpoint> UnknownEndpoint(const std::vector<Endpoint>& endpoints);
+
+  MembershipSettings m_settings;
+  Random m_random;
+  Member m_self;
+  std::uint32_t m_revision = 1;
+
+  membership::MemberTable m_table;
+  membership::UpdateQueue m_queue;
+  std::set<HostId> m_suspects;
+  std::set<HostId> m_bridge_pending;
+  std::optional<Member> m_coordinator;
+  bool m_is_table_changed = true;
+  bool m_is_superseded = false;
+
+  TimePoint m_now;
+  bool m_is_started = false;
+  TimePoint m_last_tick;
+  TimePoint m_last_heard;
+  /// The same for members of the own data centre.
+  TimePoint m_last_heard_near;
+  TimePoint m_period_end;
+  std::uint64_t m_period = 0;
+  std::uint32_t m_next_number = 1;
+  std::optional<OutstandingProbe> m_probe;
+  std::map<std::uint32_t, Relay> m_relays;
+  std::vector<HostId> m_order;
+
+  std::size_t m_unpushed = 0;
+  TimePoint m_next_push;
+  double m_list_budget = 0;
+  TimePoint m_budget_at;
+  std::map<DataCentreId, TimePoint> m_changed_at;
+  std::map<DataCentreId, TimePoint> m_asked_at;
+  std::map<DataCentreId, TimePoint> m_heard_from;
+
+  MembershipActions m_actions;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_MEMBERSHIP_MEMBERSHIP_IMPL_H_
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,187 @@
+#include "fighatch/membership.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "../bench/membership_node.h"
+
+namespace fighatch {
+namespace {
+
+using bench::MembershipNode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class MembershipTest : public ::testing::Test {
+ protected:
+  void Start(std::uint32_t host, std::uint64_t incarnation = 1, std::uint16_t data_centre = 1) {
+    const std::vector<HostId> contacts = data_centre == 1 ? std::vector<HostId>{{9}} : std::vector<HostId>{{1}};
+    const auto settings = bench::MembershipSettingsOf(host, data_centre, incarnation, {{1}, {2}, {9}}, contacts);
+    m_network.Add({host}, std::make_unique<MembershipNode>(settings, host));
+  }
+  void StartFour() {
+    for (std::uint32_t host = 1; host <= 4; ++host) Start(host);
+    m_network.RunFor(seconds(5));
+  }
+  Membership& At(std::uint32_t host) { return m_network.Find({host})->Get(); }
+  std::size_t LiveAt(std::uint32_t host) { return At(host).LiveMembers().size(); }
+  bool HasEvent(std::uint32_t at, MembershipEventKind kind, std::uint32_t about) {
+    const auto& events = m_network.Find({at})->Events();
+    return std::any_of(events.begin(), events.end(), [&](const auto& event) {
+      return event.m_event.m_kind == kind && event.m_event.m_member.m_host == HostId{about};
+    });
+  }
+
+  bench::VirtualNetwork<MembershipNode> m_network{{}, 1};
+};
+
+// Guards against a coordinator that is not replaced after its death.
+TEST_F(MembershipTest, ReplacesADeadCoordinatorWithinTwoSeconds) {
+  StartFour();
+  EXPECT_EQ(At(4).Coordinator()->m_host, HostId{1});
+  m_network.Remove({1});
+  m_network.RunFor(seconds(2));
+  for (const std::uint32_t host : {2U, 3U, 4U}) {
+    EXPECT_EQ(At(host).Coordinator()->m_host, HostId{2});
+    EXPECT_TRUE(HasEvent(host, MembershipEventKind::kCoordinatorChanged, 2));
+  }
+}
+
+// Guards against a one-way fault between two members that makes one of them dead for all.
+TEST_F(MembershipTest, KeepsAMemberThatOneOtherCannotReach) {
+  StartFour();
+  m_network.Cut({1}, {2});
+  m_network.RunFor(seconds(20));
+  for (std::uint32_t host = 1; host <= 4; ++host) {
+    EXPECT_EQ(LiveAt(host), 4U);
+    for (std::uint32_t about = 1; about <= 4; ++about) EXPECT_FALSE(HasEvent(host, MembershipEventKind::kDied, about));
+  }
+}
+
+// Guards against a host that hears nobody, but is heard, telling the others that all are dead.
+TEST_F(MembershipTest, DoesNotBelieveAHostThatHearsNobody) {
+  StartFour();
+  for (const std::uint32_t from : {1U, 2U, 3U}) m_network.Cut({from}, {4});
+  m_network.RunFor(seconds(10));
+  for (const std::uint32_t host : {1U, 2U, 3U}) {
+    EXPECT_EQ(LiveAt(host), 3U);
+    for (const std::uint32_t about : {1U, 2U, 3U}) EXPECT_FALSE(HasEvent(host, MembershipEventKind::kDied, about));
+  }
+  m_network.Mend();
+  m_network.RunFor(seconds(5));
+  for (std::uint32_t host = 1; host <= 4; ++host) EXPECT_EQ(LiveAt(host), 4U);
+}
+
+// Guards against deaths declared because the process itself stood still.
+TEST_F(MembershipTest, BlamesNobodyAfterItsOwnPause) {
+  StartFour();
+  m_network.Find({3})->Events().clear();
+  m_network.Pause({3}, milliseconds(900));
+  m_network.RunFor(milliseconds(900));
+  m_network.Pause({3}, seconds(30));
+  m_network.RunFor(seconds(33));
+  for (const std::uint32_t about : {1U, 2U, 4U}) EXPECT_FALSE(HasEvent(3, MembershipEventKind::kDied, about));
+  for (std::uint32_t host = 1; host <= 4; ++host) EXPECT_EQ(LiveAt(host), 4U);
+}
+
+// Guards against a planned leave that is reported as a death or found only by probing.
+TEST_F(MembershipTest, TellsALeaveAtOnce) {
+  StartFour();
+  m_network.Send({4}, m_network.Find({4})->Take(m_network.Now(), At(4).Leave(m_network.Now())));
+  m_network.RunFor(milliseconds(100));
+  for (const std::uint32_t host : {1U, 2U, 3U}) {
+    EXPECT_TRUE(HasEvent(host, MembershipEventKind::kLeft, 4));
+    EXPECT_EQ(LiveAt(host), 3U);
+  }
+}
+
+// Guards against changes of `m_keeper_ready` that are lost or undone by older news.
+TEST_F(MembershipTest, SpreadsKeeperReadiness) {
+  StartFour();
+  m_network.Send({2}, m_network.Find({2})->Take(m_network.Now(), At(2).SetKeeperReady(m_network.Now(), true)));
+  m_network.RunFor(milliseconds(500));
+  for (std::uint32_t host = 1; host <= 4; ++host) EXPECT_TRUE(At(host).Find({2})->m_keeper_ready);
+}
+
+// Guards against a restart that is taken for the earlier start.
+TEST_F(MembershipTest, KnowsARestartByItsIncarnation) {
+  StartFour();
+  Start(3, 2);
+  m_network.RunFor(seconds(2));
+  EXPECT_TRUE(HasEvent(1, MembershipEventKind::kRestarted, 3));
+  EXPECT_EQ(At(1).Find({3})->m_incarnation, Incarnation{2});
+}
+
+// Guards against two processes with one host id that go unnoticed.
+TEST_F(MembershipTest, ReportsALaterProcessWithItsOwnHostId) {
+  StartFour();
+  Member later = At(3).Self();
+  later.m_incarnation = {50};
+  m_network.Remove({3});
+  Start(3, 50);
+  m_network.RunFor(seconds(3));
+  Start(3, 1);
+  m_network.RunFor(seconds(5));
+  EXPECT_TRUE(HasEvent(3, MembershipEventKind::kSuperseded, 3));
+}
+
+// Guards against lists of other data centres that stay empty or keep members that have died there.
+TEST_F(MembershipTest, KnowsTheMembersOfAnotherDataCentre) {
+  StartFour();
+  Start(9, 1, 2);
+  Start(10, 1, 2);
+  Start(11, 1, 2);
+  m_network.RunFor(seconds(10));
+  for (std::uint32_t host = 1; host <= 4; ++host) EXPECT_EQ(At(host).LiveMembersOf({2}).size(), 3U);
+  m_network.Remove({9});
+  m_network.RunFor(seconds(6));
+  for (std::uint32_t host = 1; host <= 4; ++host) {
+    EXPECT_EQ(At(host).LiveMembersOf({2}).size(), 2U);
+    EXPECT_EQ(At(host).CoordinatorOf({2})->m_host, HostId{10});
+  }
+  EXPECT_LT(m_network.Now() - *At(1).LastHeardFrom({2}), seconds(3));
+}
+
+// Regression: with only one other member, messages from another data centre undid each finding that it was dead.
+TEST_F(MembershipTest, NoticesTheDeathOfTheOnlyOtherMember) {
+  StartFour();
+  Start(9, 1, 2);
+  Start(10, 1, 2);
+  m_network.RunFor(seconds(10));
+  m_network.Remove({9});
+  m_network.RunFor(seconds(2));
+  EXPECT_EQ(LiveAt(10), 1U);
+}
+
+// Regression: groups that formed around different seeds stayed apart because each known seed stopped the search.
+TEST_F(MembershipTest, JoinsGroupsThatStartedApart) {
+  for (std::uint32_t host = 1; host <= 4; ++host)
+    for (std::uint32_t other = 1; other <= 4; ++other)
+      if ((host <= 2) != (other <= 2)) m_network.Cut({host}, {other});
+  for (const std::uint32_t host : {1U, 2U, 3U, 4U}) Start(host);
+  m_network.RunFor(seconds(10));
+  m_network.Mend();
+  m_network.RunFor(seconds(10));
+  for (std::uint32_t host = 1; host <= 4; ++host) EXPECT_EQ(LiveAt(host), 4U);
+}
+
+// Guards against malformed messages that change something before they are refused.
+TEST_F(MembershipTest, RefusesMalformedMessages) {
+  StartFour();
+  const auto before = At(1).AllMembers();
+  auto probes = At(2).Tick(m_network.Now() + milliseconds(250)).m_messages;
+  ASSERT_FALSE(probes.empty());
+  std::vector<std::byte> payload = probes[0].m_payload;
+  for (std::size_t size = 0; size < payload.size(); ++size) {
+    const auto result = At(1).Receive(m_network.Now(), {2}, {}, probes[0].m_type, std::span(payload).first(size));
+    ASSERT_FALSE(IsOk(result));
+    EXPECT_EQ(ErrorOf(result).m_code, ErrorCode::kMessageMalformed);
+  }
+  payload.push_back(std::byte{0});
+  EXPECT_FALSE(IsOk(At(1).Receive(m_network.Now(), {2}, {}, probes[0].m_type, payload)));
+  EXPECT_EQ(At(1).AllMembers(), before);
+}
+
+}  // namespace
+}  // namespace fighatch
