Repair missed deaths in other data centres and end news that all know

Cause: 500 members that start at once kept sending known news for minutes, 37,570 B/s for the busiest one.

Change: news ends when eight peers in a row show equal digests; lists start at a random place; lists of other data centres that peers exchange carry the dead. The last point was found by membership_faults_test once repeats ended early and is now a named test.

--- a/bench/membership_detection.cc
+++ b/bench/membership_detection.cc
@@ -30,7 +30,7 @@
       Start(host);
       m_network.RunFor(milliseconds(5));
     }
-    m_network.RunFor(seconds(15));
+    m_network.RunFor(seconds(40));
   }
 
   void Start(std::uint32_t host) {
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -88,7 +88,7 @@
 }
 
 void Membership::Impl::SendProbe(const Endpoint& destination, HostId receiver, std::uint32_t number) {
-  const bool is_joining = LiveMembersOf(m_self.m_data_centre).size() <= 1;
+  const bool is_joining = LiveOthers() == 0;
   const membership::ProbeMessage probe{number, is_joining, MakePiggyback(receiver, kUpdatesPerProbe)};
   SendMessage(destination, receiver, MessageType::kProbe, membership::Encode(probe));
 }
@@ -141,7 +141,7 @@
 }
 
 void Membership::Impl::ProbeOthers() {
-  const bool is_alone = LiveMembersOf(m_self.m_data_centre).size() <= 1;
+  const bool is_alone = LiveOthers() == 0;
   if (is_alone || m_period % kPeriodsPerSeedProbe == 0) ProbeSeed();
   if (m_period % kPeriodsPerDeadProbe == 0) ProbeDeadMember();
 }
@@ -185,9 +185,17 @@
   }
 }
 
+std::size_t Membership::Impl::LiveOthers() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_table.Records().begin(), m_table.Records().end(), [this](const auto& entry) {
+        const Member& member = entry.second.Get();
+        return member.m_data_centre == m_self.m_data_centre && IsLive(member.m_state);
+      }));
+}
+
 bool Membership::Impl::IsDoubtful() const {
   // With one other member its silence is the only sign there can be.
-  const bool has_witness = LiveMembersOf(m_self.m_data_centre).size() > 2;
+  const bool has_witness = LiveOthers() > 1;
   return has_witness && m_now - m_last_heard_near >= kSilentPeriods * m_settings.m_probe_period;
 }
 
--- a/src/membership/list_exchange.cc
+++ b/src/membership/list_exchange.cc
@@ -22,6 +22,9 @@
 constexpr Duration kDifferenceTime = milliseconds(1000);
 constexpr Duration kAskInterval = milliseconds(2000);
 constexpr Duration kBridgeSilence = std::chrono::seconds(2);
+/// Peers in a row with the same lists after which all news counts as known: it saves most of the repeats that follow
+/// the start of many members at once.
+constexpr std::size_t kEqualDigests = 8;
 /// Datagrams a second spent on whole lists, and how many may go at once.
 constexpr double kListRate = 200;
 constexpr double kListBurst = 200;
@@ -80,6 +83,10 @@
     if (record.Get().m_data_centre != data_centre || record.m_unconfirmed) continue;
     if (IsLive(record.Get().m_state) || with_ended) updates.push_back(*UpdateFor(host));
   }
+  // A list that the budget cuts short begins elsewhere each time, so that repeats bring all of it.
+  if (!updates.empty())
+    std::rotate(updates.begin(), updates.begin() + static_cast<std::ptrdiff_t>(m_random.Below(updates.size())),
+                updates.end());
   for (std::size_t start = 0; start < updates.size(); start += membership::kMaxUpdatesPerMessage) {
     if (m_list_budget < 1) return;
     m_list_budget -= 1;
@@ -93,12 +100,17 @@
 
 void Membership::Impl::CompareDigests(HostId sender, const Endpoint& source,
                                       const std::vector<membership::ListDigest>& digests) {
+  bool is_equal = true;
   for (const membership::ListDigest& digest : digests) {
     if (digest.m_digest == DigestOf(digest.m_data_centre)) continue;
+    is_equal = false;
     const bool is_settled = m_now - m_changed_at[digest.m_data_centre] >= kDifferenceTime;
     const bool is_unknown = m_table.Find(sender) == nullptr && digest.m_data_centre == m_self.m_data_centre;
     if (is_settled || is_unknown) AskForList(sender, source, digest.m_data_centre);
   }
+  m_equal_digests = is_equal ? m_equal_digests + 1 : 0;
+  // Digests do not tell suspicions, so news is kept while there are any.
+  if (m_equal_digests >= kEqualDigests && m_suspects.empty()) m_queue.Clear();
 }
 
 void Membership::Impl::AskForList(HostId receiver, const Endpoint& destination, DataCentreId data_centre) {
@@ -113,7 +125,9 @@
   Apply(message.m_piggyback);
   const bool is_remote = message.m_sender_data_centre != m_self.m_data_centre;
   if (is_remote) m_heard_from[message.m_sender_data_centre] = m_now;
-  for (const DataCentreId wanted : message.m_wanted) SendList(source, sender, wanted, is_remote);
+  // Members of the own data centre find the dead among themselves by probing; others must be told.
+  for (const DataCentreId wanted : message.m_wanted)
+    SendList(source, sender, wanted, is_remote || wanted != m_self.m_data_centre);
   if (!is_remote) return;
   for (const membership::ListDigest& digest : message.m_piggyback.m_digests) {
     const bool differs = digest.m_digest != DigestOf(digest.m_data_centre);
--- a/src/membership/membership_impl.h
+++ b/src/membership/membership_impl.h
@@ -89,6 +89,8 @@
   void OnProbeRequest(HostId sender, const Endpoint& source, const membership::ProbeRequestMessage& message);
   void OnMemberList(HostId sender, const Endpoint& source, const membership::MemberListMessage& message);
   void Heard(HostId sender);
+  /// Live members of the own data centre besides this one.
+  [[nodiscard]] std::size_t LiveOthers() const;
   void HeardNear();
   /// True if a failed probe says more about this host than about its target.
   [[nodiscard]] bool IsDoubtful() const;
@@ -132,6 +134,7 @@
   std::vector<HostId> m_order;
 
   std::size_t m_unpushed = 0;
+  std::size_t m_equal_digests = 0;
   TimePoint m_next_push;
   double m_list_budget = 0;
   TimePoint m_budget_at;
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -18,7 +18,8 @@
   /// Members whose news go on the next message. Each counts as sent once.
   [[nodiscard]] std::vector<HostId> Take(std::size_t count, std::size_t members);
 
-  [[nodiscard]] bool IsEmpty() const noexcept { return m_entries.empty(); }
+  /// Stops sending all news.
+  void Clear() noexcept { m_entries.clear(); }
 
  private:
   struct Entry {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -166,6 +166,21 @@
   for (std::uint32_t host = 1; host <= 4; ++host) EXPECT_EQ(LiveAt(host), 4U);
 }
 
+// Regression: a host that missed the news of a death in another data centre kept the dead member for good, because
+// lists that peers of one data centre exchange left out the dead.
+TEST_F(MembershipTest, RepairsAMissedDeathInAnotherDataCentre) {
+  StartFour();
+  Start(9, 1, 2);
+  Start(10, 1, 2);
+  m_network.RunFor(seconds(10));
+  for (const std::uint32_t from : {1U, 2U, 3U}) m_network.Cut({from}, {4});
+  m_network.Remove({9});
+  m_network.RunFor(seconds(20));
+  m_network.Mend();
+  m_network.RunFor(seconds(8));
+  EXPECT_EQ(At(4).LiveMembersOf({2}).size(), 1U);
+}
+
 // Guards against malformed messages that change something before they are refused.
 TEST_F(MembershipTest, RefusesMalformedMessages) {
   StartFour();
