--- a/include/fighatch/allowance_grantor.h
+++ b/include/fighatch/allowance_grantor.h
@@ -120,6 +120,7 @@
   /// fell count against it.
   [[nodiscard]] static std::uint32_t Usable(const Target& target) noexcept;
   void CheckMembers(TimePoint now);
+  void StartAgain(TimePoint now);
 
   bool TakeIdentity(const LeaseRequest& request, TimePoint now);
   void TakeVouch(const LeaseRequest& request, Holder* holder, TimePoint now);
--- a/include/fighatch/coordinator.h
+++ b/include/fighatch/coordinator.h
@@ -66,6 +66,8 @@
   [[nodiscard]] HostId Elected() const;
   [[nodiscard]] bool IsActive() const noexcept { return m_active != nullptr; }
   [[nodiscard]] bool IsRegionCoordinator() const;
+  /// The epoch under which this host publishes and grants; 0 while another host is elected.
+  [[nodiscard]] std::uint64_t Epoch() const noexcept { return m_active ? m_active->m_epoch : 0; }
 
   /// Digest of the members of this data centre, for `AllowanceHolder::SetMembers`.
   [[nodiscard]] std::uint32_t MembersDigest() const;
@@ -97,6 +99,7 @@
     std::map<TargetId, TimePoint> m_retired;
   };
 
+  void ForgetAcks(HostId host);
   [[nodiscard]] std::vector<LeaseMember> LeaseMembers() const;
   [[nodiscard]] std::set<HostId> OwnBalancers() const;
   [[nodiscard]] std::optional<HostId> LowestBalancer(DataCentreId data_centre) const;
@@ -118,6 +121,8 @@
   void SetAllowances(const TargetRegistry& registry, TimePoint now);
 
   void PublishTargets(const Service& service, const TargetRegistry& registry, TimePoint now);
+  /// True if no target of the service is both serving, heard of late and healthy.
+  [[nodiscard]] bool AllLookDead(const Service& service, const TargetRegistry& registry, TimePoint now) const;
   [[nodiscard]] std::vector<OwnerEntry> WantedTargets(const Service& service, const OwnerTable& table,
                                                       const TargetRegistry& registry, TimePoint now) const;
   void RemoveDeadTargets(TablePublication* publication, const TargetRegistry& registry, TimePoint now);
@@ -132,6 +137,7 @@
   CoordinatorConfig m_config;
   Random* m_random;
   std::vector<Member> m_members;
+  std::map<HostId, Incarnation> m_incarnations;
   StateDocument m_state;
   std::map<DataCentreId, DataCentreRamp> m_data_centre_ramps;
   std::map<TableKey, TableUpdate> m_known;
--- a/include/fighatch/owner_transition.h
+++ b/include/fighatch/owner_transition.h
@@ -44,6 +44,9 @@
   /// Takes an acknowledgement; false if it is for another version.
   bool OnAck(const TableAck& ack, TimePoint now);
 
+  /// Drops a host's acknowledgement, so that the table is sent to it again.
+  void ForgetAck(HostId host);
+
   /// Moves phases on. `live` are the hosts whose acknowledgements count. Returns true if the table changed.
   bool Advance(const std::set<HostId>& live, const std::function<bool(std::uint64_t)>& is_owner_live, TimePoint now);
 
--- a/include/fighatch/table_publication.h
+++ b/include/fighatch/table_publication.h
@@ -58,6 +58,7 @@
  private:
   OwnerTransition m_transition;
   std::vector<TargetInfo> m_targets;
+  std::set<HostId> m_receivers;
   ResendClock m_resend;
 };
 
@@ -70,6 +71,9 @@
   /// Takes the acknowledgement of a balancer of this data centre; true if it is for a relayed table.
   bool OnAck(const TableAck& ack);
 
+  /// Drops a host's acknowledgements after it has restarted.
+  void ForgetAcks(HostId host);
+
   /// Adds the updates that are due for these hosts, and one acknowledgement for each update that all of them have. The
   /// acknowledgement is sent again with `kUpdateResend` as long as the coordinator repeats the update.
   void Collect(HostId self, const std::set<HostId>& receivers, TimePoint now, std::vector<TableSend>* updates,
--- a/src/target/allowance_grantor.cc
+++ b/src/target/allowance_grantor.cc
@@ -217,10 +217,21 @@
   if (now - m_checked_at < kCheckInterval) return;
   m_checked_at = now;
   UpdateMembers(now);
-  if (HasMajority(now)) m_majority_at = now;
+  if (HasMajority(now)) {
+    if (now - m_majority_at.value_or(m_started) >= kMinorityStopsAfter) StartAgain(now);
+    m_majority_at = now;
+  }
   if (AllReported(now)) m_all_reported_at = now;
 }
 
+void AllowanceGrantor::StartAgain(TimePoint now) {
+  // While this grantor had no majority another one may have had it, and may have declared members gone whose word
+  // still counts here. What is free has to be found out again.
+  m_started = now;
+  m_all_reported_at.reset();
+  for (auto& [host, holder] : m_holders) holder.m_bound_since = now;
+}
+
 bool AllowanceGrantor::TakeIdentity(const LeaseRequest& request, TimePoint now) {
   Holder& holder = m_holders[request.m_holder];
   if (request.m_incarnation < holder.m_incarnation) return false;
--- a/src/target/coordinator.cc
+++ b/src/target/coordinator.cc
@@ -23,6 +23,12 @@
 
 void Coordinator::SetMembers(std::vector<Member> members, TimePoint now) {
   m_members = std::move(members);
+  for (const Member& member : m_members) {
+    Incarnation& known = m_incarnations[member.m_host];
+    // A restarted host has lost the tables that it acknowledged.
+    if (known != member.m_incarnation) ForgetAcks(member.m_host);
+    known = member.m_incarnation;
+  }
   Elect(now);
   if (m_active) m_active->m_grantor.SetMembers(LeaseMembers(), MembersDigest(), now);
 }
@@ -32,6 +38,12 @@
   UpdateDataCentreRamps(now);
 }
 
+void Coordinator::ForgetAcks(HostId host) {
+  m_relay.ForgetAcks(host);
+  if (!m_active) return;
+  for (auto& [key, publication] : m_active->m_tables) publication.Transition().ForgetAck(host);
+}
+
 std::vector<LeaseMember> Coordinator::LeaseMembers() const {
   std::vector<LeaseMember> members;
   for (const Member& member : m_members) {
@@ -146,7 +158,9 @@
   const bool own_sender = std::any_of(m_members.begin(), m_members.end(), [&](const Member& member) {
     return member.m_host == from && member.m_data_centre == m_config.m_data_centre;
   });
-  if (own_sender || from == m_config.m_host) return false;
+  // The sender of an outdated table has to hear of the newer version from this host itself.
+  const bool outdated = !newer && known->second.m_table.m_version != update.m_table.m_version;
+  if (own_sender || outdated || from == m_config.m_host) return false;
   m_relay.Take(update, from, now);
   return true;
 }
--- a/src/target/coordinator_targets.cc
+++ b/src/target/coordinator_targets.cc
@@ -97,7 +97,9 @@
   }
   for (const auto& [id, since] : m_active->m_retired) {
     const TargetRecord* record = registry.FindAny(id);
-    if (record != nullptr) m_active->m_grantor.SetAllowance(record->m_fact.m_info, 0);
+    if (record == nullptr) continue;
+    const bool try_it = sums[record->m_fact.m_info.m_service] == 0 && IsServing(*record);
+    m_active->m_grantor.SetAllowance(record->m_fact.m_info, try_it ? kLastResortTokens : 0);
   }
 }
 
@@ -109,8 +111,8 @@
   const TableKey key{service.m_id, m_config.m_data_centre};
   TablePublication& publication = PublicationOf(key);
   std::vector<OwnerEntry> wanted = WantedTargets(service, publication.Transition().Table(), registry, now);
-  const bool last_resort = wanted.empty() && !publication.Transition().Table().m_current.empty();
-  if (last_resort) {
+  const bool last_resort = AllLookDead(service, registry, now);
+  if (last_resort && !publication.Transition().Table().m_current.empty()) {
     // Targets that went silent stay, so that packets try them; those that said that they leave go.
     wanted = publication.Transition().Table().m_current;
     std::erase_if(wanted, [&](const OwnerEntry& entry) {
@@ -128,6 +130,14 @@
   publication.Describe(Describe(publication, registry));
 }
 
+bool Coordinator::AllLookDead(const Service& service, const TargetRegistry& registry, TimePoint now) const {
+  const std::vector<const TargetRecord*> live = registry.Live();
+  return std::none_of(live.begin(), live.end(), [&](const TargetRecord* record) {
+    return record->m_fact.m_info.m_service == service.m_id && registry.StateOf(*record, now) == TargetState::kServing &&
+           record->m_fact.m_healthy;
+  });
+}
+
 std::vector<OwnerEntry> Coordinator::WantedTargets(const Service& service, const OwnerTable& table,
                                                    const TargetRegistry& registry, TimePoint now) const {
   std::vector<OwnerEntry> wanted;
--- a/src/target/owner_transition.cc
+++ b/src/target/owner_transition.cc
@@ -48,6 +48,8 @@
   return true;
 }
 
+void OwnerTransition::ForgetAck(HostId host) { m_acks.erase(host); }
+
 void OwnerTransition::Touch() {
   // The phase keeps its start; acknowledgements are for the new version only.
   ++m_table.m_version.m_generation;
@@ -106,6 +108,7 @@
 }
 
 bool OwnerTransition::IsBaseGone(const std::function<bool(std::uint64_t)>& is_owner_live) const {
+  if (m_table.m_base.empty()) return true;
   // Slots left only owners that are gone if every other entry is as it was and none is new.
   const bool no_gain = std::all_of(m_table.m_current.begin(), m_table.m_current.end(),
                                    [this](const OwnerEntry& entry) { return Contains(m_table.m_base, entry); });
--- a/src/target/table_publication.cc
+++ b/src/target/table_publication.cc
@@ -21,6 +21,11 @@
 }
 
 void TablePublication::Collect(const std::set<HostId>& receivers, TimePoint now, std::vector<TableSend>* out) {
+  for (const HostId host : receivers) {
+    // A host that was out of reach may have taken a table from another coordinator meanwhile.
+    if (!m_receivers.contains(host)) m_transition.ForgetAck(host);
+  }
+  m_receivers = receivers;
   for (const HostId host : receivers) {
     if (m_transition.HasAcknowledged(host) || !m_resend.IsDue(host, m_transition.Table().m_version, now)) continue;
     out->push_back({host, {m_transition.Table(), m_targets}});
@@ -46,6 +51,10 @@
   return true;
 }
 
+void TableRelay::ForgetAcks(HostId host) {
+  for (auto& [key, relayed] : m_relayed) relayed.m_idle_s.erase(host);
+}
+
 void TableRelay::Collect(HostId self, const std::set<HostId>& receivers, TimePoint now, std::vector<TableSend>* updates,
                          std::vector<AckSend>* acks) {
   for (auto& [key, relayed] : m_relayed) {
