--- a/include/fighatch/allowance_grantor.h
+++ b/include/fighatch/allowance_grantor.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -110,6 +111,7 @@
   [[nodiscard]] bool TakesTokens(HostId host) const;
   [[nodiscard]] bool IsHeard(HostId host, TimePoint now) const;
   [[nodiscard]] bool HasMajority(TimePoint now) const;
+  [[nodiscard]] bool IsMajority(const std::function<bool(HostId)>& counts) const;
   /// True if every host that may hold a token has said which ones it holds.
   [[nodiscard]] bool AllReported(TimePoint now) const;
   [[nodiscard]] bool HasReported(HostId host, TimePoint now) const;
--- a/include/fighatch/coordinator.h
+++ b/include/fighatch/coordinator.h
@@ -2,6 +2,7 @@
 #define FIGHATCH_COORDINATOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -80,6 +81,10 @@
  private:
   using TableKey = std::pair<ServiceId, DataCentreId>;
 
+  struct Yielded {
+    Version m_version;
+    ResendClock m_resend;
+  };
   struct DataCentreRamp {
     DataCentreState m_state = DataCentreState::kIn;
     std::size_t m_step = 0;
@@ -108,6 +113,10 @@
   [[nodiscard]] std::set<HostId> Receivers() const;
 
   void Elect(TimePoint now);
+  /// Stops publishing tables. Their versions are reported to the new writer, which may not know them.
+  void YieldTables(const std::function<bool(DataCentreId)>& yields);
+  void ReportYielded(TimePoint now, std::vector<AckSend>* acks);
+  [[nodiscard]] std::optional<HostId> RegionCoordinator() const;
   void RaiseEpoch(TimePoint now);
   [[nodiscard]] std::uint64_t NextEpoch() const;
   /// True if a table that this host is to publish has a higher epoch than its own.
@@ -141,6 +150,7 @@
   StateDocument m_state;
   std::map<DataCentreId, DataCentreRamp> m_data_centre_ramps;
   std::map<TableKey, TableUpdate> m_known;
+  std::map<TableKey, Yielded> m_yielded;
   std::uint64_t m_seen_epoch = 0;
   std::unique_ptr<Active> m_active;
   TableRelay m_relay;
--- a/src/target/allowance_grantor.cc
+++ b/src/target/allowance_grantor.cc
@@ -129,7 +129,21 @@
       m_members.begin(), m_members.end(), [&](const LeaseMember& member) { return IsHeard(member.m_host, now); }));
 }
 
-bool AllowanceGrantor::HasMajority(TimePoint now) const { return HeardMembers(now) * 2 > m_members.size(); }
+bool AllowanceGrantor::HasMajority(TimePoint now) const {
+  return IsMajority([&](HostId host) { return IsHeard(host, now); });
+}
+
+bool AllowanceGrantor::IsMajority(const std::function<bool(HostId)>& counts) const {
+  std::size_t known = 0;
+  std::size_t counted = 0;
+  // Members that were declared gone count: two halves of a list that shrank on one side only could both be a majority.
+  for (const LeaseMember& member : m_wanted_members) {
+    if (member.m_left) continue;
+    ++known;
+    if (counts(member.m_host)) ++counted;
+  }
+  return counted * 2 > known;
+}
 
 bool AllowanceGrantor::HasReported(HostId host, TimePoint now) const {
   return IsMember(host) && IsHeard(host, now) && m_holders.at(host).m_members_digest == m_members_digest;
@@ -150,12 +164,11 @@
 }
 
 bool AllowanceGrantor::IsMissedByMajority(HostId host, TimePoint now) const {
-  const auto missing = std::count_if(m_members.begin(), m_members.end(), [&](const LeaseMember& member) {
-    if (!IsHeard(member.m_host, now)) return false;
-    const std::vector<HostId>& hosts = m_holders.at(member.m_host).m_missing;
-    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+  return IsMajority([&](HostId member) {
+    if (!IsHeard(member, now)) return false;
+    const std::vector<HostId>& missing = m_holders.at(member).m_missing;
+    return std::find(missing.begin(), missing.end(), host) != missing.end();
   });
-  return static_cast<std::size_t>(missing) * 2 > m_members.size();
 }
 
 bool AllowanceGrantor::IsGone(const LeaseMember& member, TimePoint now) const {
--- a/src/target/coordinator.cc
+++ b/src/target/coordinator.cc
@@ -136,12 +136,48 @@
 
 void Coordinator::Elect(TimePoint now) {
   if (Elected() != m_config.m_host) {
+    YieldTables([](DataCentreId) { return true; });
     m_active.reset();
     return;
   }
   if (!m_active) RaiseEpoch(now);
 }
 
+void Coordinator::YieldTables(const std::function<bool(DataCentreId)>& yields) {
+  if (!m_active) return;
+  std::erase_if(m_active->m_tables, [&](const auto& item) {
+    if (!yields(item.first.second)) return false;
+    m_yielded[item.first] = {item.second.Transition().Table().m_version, {}};
+    return true;
+  });
+}
+
+std::optional<HostId> Coordinator::RegionCoordinator() const {
+  std::optional<HostId> lowest;
+  for (const DataCentre* data_centre : Region()) {
+    const std::optional<HostId> host = LowestBalancer(data_centre->m_id);
+    if (host && (!lowest || *host < *lowest)) lowest = host;
+  }
+  return lowest;
+}
+
+void Coordinator::ReportYielded(TimePoint now, std::vector<AckSend>* acks) {
+  for (auto item = m_yielded.begin(); item != m_yielded.end();) {
+    const auto& [service, data_centre] = item->first;
+    Yielded& yielded = item->second;
+    const TableUpdate* known = KnownTable(service, data_centre);
+    const std::optional<HostId> writer = data_centre == DataCentreId{} ? RegionCoordinator() : Elected();
+    const bool replaced = known != nullptr && known->m_table.m_version > yielded.m_version;
+    if (replaced || !writer || *writer == m_config.m_host) {
+      item = m_yielded.erase(item);
+      continue;
+    }
+    if (yielded.m_resend.IsDue(*writer, yielded.m_version, now))
+      acks->push_back({*writer, {m_config.m_host, service, data_centre, yielded.m_version, 0}});
+    ++item;
+  }
+}
+
 void Coordinator::RaiseEpoch(TimePoint now) {
   const std::uint64_t epoch = NextEpoch();
   m_seen_epoch = epoch;
@@ -176,7 +212,8 @@
     RaiseEpoch(now);
     return;
   }
-  publication->second.Transition().OnAck(ack, now);
+  if (publication->second.Transition().OnAck(ack, now)) return;
+  publication->second.Transition().ForgetAck(ack.m_host);
 }
 
 std::optional<LeaseGrant> Coordinator::OnLeaseRequest(const LeaseRequest& request, TimePoint now) {
@@ -200,6 +237,7 @@
   CoordinatorActions actions;
   m_relay.Collect(m_config.m_host, OwnBalancers(), now, &actions.m_updates, &actions.m_acks);
   Elect(now);
+  ReportYielded(now, &actions.m_acks);
   UpdateDataCentreRamps(now);
   if (!m_active) return actions;
   UpdateRamps(registry, now);
@@ -215,7 +253,7 @@
     PublishTargets(service, registry, now);
     if (region) PublishDataCentres(service, now);
   }
-  if (!region) std::erase_if(m_active->m_tables, [](const auto& item) { return item.first.second == DataCentreId{}; });
+  if (!region) YieldTables([](DataCentreId data_centre) { return data_centre == DataCentreId{}; });
   const std::set<HostId> receivers = Receivers();
   for (auto& [key, publication] : m_active->m_tables) {
     publication.Collect(receivers, now, &actions.m_updates);
