--- a/include/fighatch/coordinator.h
+++ b/include/fighatch/coordinator.h
@@ -2,6 +2,7 @@
 #define FIGHATCH_COORDINATOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,6 +67,8 @@
   [[nodiscard]] HostId Elected() const;
   [[nodiscard]] bool IsActive() const noexcept { return m_active != nullptr; }
   [[nodiscard]] bool IsRegionCoordinator() const;
+  /// The epoch under which this host publishes and grants; 0 while another host is elected.
+  [[nodiscard]] std::uint64_t Epoch() const noexcept { return m_active ? m_active->m_epoch : 0; }
 
   /// Digest of the members of this data centre, for `AllowanceHolder::SetMembers`.
   [[nodiscard]] std::uint32_t MembersDigest() const;
@@ -78,6 +81,10 @@
  private:
   using TableKey = std::pair<ServiceId, DataCentreId>;
 
+  struct Yielded {
+    Version m_version;
+    ResendClock m_resend;
+  };
   struct DataCentreRamp {
     DataCentreState m_state = DataCentreState::kIn;
     std::size_t m_step = 0;
@@ -97,6 +104,7 @@
     std::map<TargetId, TimePoint> m_retired;
   };
 
+  void ForgetAcks(HostId host);
   [[nodiscard]] std::vector<LeaseMember> LeaseMembers() const;
   [[nodiscard]] std::set<HostId> OwnBalancers() const;
   [[nodiscard]] std::optional<HostId> LowestBalancer(DataCentreId data_centre) const;
@@ -105,6 +113,10 @@
   [[nodiscard]] std::set<HostId> Receivers() const;
 
   void Elect(TimePoint now);
+  /// Stops publishing tables. Their versions are reported to the new writer, which may not know them.
+  void YieldTables(const std::function<bool(DataCentreId)>& yields);
+  void ReportYielded(TimePoint now, std::vector<AckSend>* acks);
+  [[nodiscard]] std::optional<HostId> RegionCoordinator() const;
   void RaiseEpoch(TimePoint now);
   [[nodiscard]] std::uint64_t NextEpoch() const;
   /// True if a table that this host is to publish has a higher epoch than its own.
@@ -118,6 +130,8 @@
   void SetAllowances(const TargetRegistry& registry, TimePoint now);
 
   void PublishTargets(const Service& service, const TargetRegistry& registry, TimePoint now);
+  /// True if no target of the service is both serving, heard of late and healthy.
+  [[nodiscard]] bool AllLookDead(const Service& service, const TargetRegistry& registry, TimePoint now) const;
   [[nodiscard]] std::vector<OwnerEntry> WantedTargets(const Service& service, const OwnerTable& table,
                                                       const TargetRegistry& registry, TimePoint now) const;
   void RemoveDeadTargets(TablePublication* publication, const TargetRegistry& registry, TimePoint now);
@@ -132,9 +146,11 @@
   CoordinatorConfig m_config;
   Random* m_random;
   std::vector<Member> m_members;
+  std::map<HostId, Incarnation> m_incarnations;
   StateDocument m_state;
   std::map<DataCentreId, DataCentreRamp> m_data_centre_ramps;
   std::map<TableKey, TableUpdate> m_known;
+  std::map<TableKey, Yielded> m_yielded;
   std::uint64_t m_seen_epoch = 0;
   std::unique_ptr<Active> m_active;
   TableRelay m_relay;
--- a/src/target/coordinator.cc
+++ b/src/target/coordinator.cc
@@ -23,6 +23,12 @@
 
 void Coordinator::SetMembers(std::vector<Member> members, TimePoint now) {
   m_members = std::move(members);
+  for (const Member& member : m_members) {
+    Incarnation& known = m_incarnations[member.m_host];
+    // A restarted host has lost the tables that it acknowledged.
+    if (known != member.m_incarnation) ForgetAcks(member.m_host);
+    known = member.m_incarnation;
+  }
   Elect(now);
   if (m_active) m_active->m_grantor.SetMembers(LeaseMembers(), MembersDigest(), now);
 }
@@ -32,6 +38,12 @@
   UpdateDataCentreRamps(now);
 }
 
+void Coordinator::ForgetAcks(HostId host) {
+  m_relay.ForgetAcks(host);
+  if (!m_active) return;
+  for (auto& [key, publication] : m_active->m_tables) publication.Transition().ForgetAck(host);
+}
+
 std::vector<LeaseMember> Coordinator::LeaseMembers() const {
   std::vector<LeaseMember> members;
   for (const Member& member : m_members) {
@@ -124,12 +136,48 @@
 
 void Coordinator::Elect(TimePoint now) {
   if (Elected() != m_config.m_host) {
+    YieldTables([](DataCentreId) { return true; });
     m_active.reset();
     return;
   }
   if (!m_active) RaiseEpoch(now);
 }
 
+void Coordinator::YieldTables(const std::function<bool(DataCentreId)>& yields) {
+  if (!m_active) return;
+  std::erase_if(m_active->m_tables, [&](const auto& item) {
+    if (!yields(item.first.second)) return false;
+    m_yielded[item.first] = {item.second.Transition().Table().m_version, {}};
+    return true;
+  });
+}
+
+std::optional<HostId> Coordinator::RegionCoordinator() const {
+  std::optional<HostId> lowest;
+  for (const DataCentre* data_centre : Region()) {
+    const std::optional<HostId> host = LowestBalancer(data_centre->m_id);
+    if (host && (!lowest || *host < *lowest)) lowest = host;
+  }
+  return lowest;
+}
+
+void Coordinator::ReportYielded(TimePoint now, std::vector<AckSend>* acks) {
+  for (auto item = m_yielded.begin(); item != m_yielded.end();) {
+    const auto& [service, data_centre] = item->first;
+    Yielded& yielded = item->second;
+    const TableUpdate* known = KnownTable(service, data_centre);
+    const std::optional<HostId> writer = data_centre == DataCentreId{} ? RegionCoordinator() : Elected();
+    const bool replaced = known != nullptr && known->m_table.m_version > yielded.m_version;
+    if (replaced || !writer || *writer == m_config.m_host) {
+      item = m_yielded.erase(item);
+      continue;
+    }
+    if (yielded.m_resend.IsDue(*writer, yielded.m_version, now))
+      acks->push_back({*writer, {m_config.m_host, service, data_centre, yielded.m_version, 0}});
+    ++item;
+  }
+}
+
 void Coordinator::RaiseEpoch(TimePoint now) {
   const std::uint64_t epoch = NextEpoch();
   m_seen_epoch = epoch;
@@ -146,7 +194,9 @@
   const bool own_sender = std::any_of(m_members.begin(), m_members.end(), [&](const Member& member) {
     return member.m_host == from && member.m_data_centre == m_config.m_data_centre;
   });
-  if (own_sender || from == m_config.m_host) return false;
+  // The sender of an outdated table has to hear of the newer version from this host itself.
+  const bool outdated = !newer && known->second.m_table.m_version != update.m_table.m_version;
+  if (own_sender || outdated || from == m_config.m_host) return false;
   m_relay.Take(update, from, now);
   return true;
 }
@@ -162,7 +212,8 @@
     RaiseEpoch(now);
     return;
   }
-  publication->second.Transition().OnAck(ack, now);
+  if (publication->second.Transition().OnAck(ack, now)) return;
+  publication->second.Transition().ForgetAck(ack.m_host);
 }
 
 std::optional<LeaseGrant> Coordinator::OnLeaseRequest(const LeaseRequest& request, TimePoint now) {
@@ -186,6 +237,7 @@
   CoordinatorActions actions;
   m_relay.Collect(m_config.m_host, OwnBalancers(), now, &actions.m_updates, &actions.m_acks);
   Elect(now);
+  ReportYielded(now, &actions.m_acks);
   UpdateDataCentreRamps(now);
   if (!m_active) return actions;
   UpdateRamps(registry, now);
@@ -201,7 +253,7 @@
     PublishTargets(service, registry, now);
     if (region) PublishDataCentres(service, now);
   }
-  if (!region) std::erase_if(m_active->m_tables, [](const auto& item) { return item.first.second == DataCentreId{}; });
+  if (!region) YieldTables([](DataCentreId data_centre) { return data_centre == DataCentreId{}; });
   const std::set<HostId> receivers = Receivers();
   for (auto& [key, publication] : m_active->m_tables) {
     publication.Collect(receivers, now, &actions.m_updates);
