--- a/include/fighatch/request_engine.h
+++ b/include/fighatch/request_engine.h
@@ -30,6 +30,9 @@
   std::size_t m_queue_limit = 256;
   /// Requests in progress of all services, with those forwarded.
   std::size_t m_call_limit = 100'000;
+  /// Size of a part of a handover. It keeps a part well below the 64 KiB limit of a message, also with an answer of
+  /// 16 KiB at its end.
+  std::size_t m_handover_part_bytes = 32UL * 1024;
   /// False admits every request; only for measurements against a baseline.
   bool m_limit_admission = true;
   /// False retries without a budget; only for measurements against a baseline.
--- a/src/request/engine_state.cc
+++ b/src/request/engine_state.cc
@@ -27,7 +27,7 @@
       m_issuer(settings.m_host, settings.m_incarnation, settings.m_shard, settings.m_shard_count),
       m_duties(settings.m_host, settings.m_incarnation),
       m_picker(std::move(strategy)),
-      m_outbox(HandoverFrame(settings)) {}
+      m_outbox(HandoverFrame(settings), settings.m_handover_part_bytes) {}
 
 RequestActions RequestEngineState::Handle(TimePoint now, RequestEvent event) {
   m_now = now;
--- a/src/request/engine_targets.cc
+++ b/src/request/engine_targets.cc
@@ -2,6 +2,7 @@
 
 #include "request/answer.h"
 #include "request/engine_state.h"
+#include "request/limits.h"
 
 namespace fighatch {
 namespace {
@@ -63,9 +64,8 @@
   ServiceState& service = *FindService(call.m_service);
   service.OnEnded(call.m_target);
   const bool long_enough = duration >= AttemptTimeout(service);
-  if (result == ExchangeResult::kAnswered || (result == ExchangeResult::kTimedOut && long_enough)) {
-    service.m_admission.OnServiceTime(duration);
-  }
+  // Timeouts are left out: they would lengthen the mean, and with it the time until the next silence is noticed.
+  if (result == ExchangeResult::kAnswered) service.m_admission.OnServiceTime(duration);
   // A caller that gives little time must not make a target look silent.
   const bool failed = result == ExchangeResult::kRefused || result == ExchangeResult::kLost ||
                       (result == ExchangeResult::kTimedOut && long_enough);
@@ -73,7 +73,10 @@
 }
 
 Duration RequestEngineState::AttemptTimeout(const ServiceState& service) const {
-  return std::max(kShortestAttemptTimeout, service.m_admission.MeanServiceTime() * kAttemptTimeoutFactor);
+  const Duration mean = service.m_admission.MeanServiceTime();
+  // With a slow service most deadlines end before four times the mean.
+  const Duration longest = std::max(kDefaultRequestTimeout, mean * 2);
+  return std::clamp(mean * kAttemptTimeoutFactor, kShortestAttemptTimeout, longest);
 }
 
 bool RequestEngineState::TakeRetry(ServiceState& service) {
--- a/src/request/handover_outbox.cc
+++ b/src/request/handover_outbox.cc
@@ -3,8 +3,6 @@
 namespace fighatch {
 namespace {
 
-/// Keeps a part well below the 64 KiB limit of a message, also with an answer of 16 KiB at its end.
-constexpr std::size_t kPartBytes = 32UL * 1024;
 constexpr std::size_t kRecordOverheadBytes = 128;
 
 std::size_t EstimateBytes(const JournalRecord& record) {
@@ -15,12 +13,12 @@
   return bytes;
 }
 
-std::vector<std::vector<JournalRecord>> Split(std::vector<JournalRecord> records) {
+std::vector<std::vector<JournalRecord>> Split(std::vector<JournalRecord> records, std::size_t part_bytes) {
   std::vector<std::vector<JournalRecord>> parts(1);
   std::size_t bytes = 0;
   for (JournalRecord& record : records) {
     const std::size_t record_bytes = EstimateBytes(record);
-    if (bytes > 0 && bytes + record_bytes > kPartBytes) {
+    if (bytes > 0 && bytes + record_bytes > part_bytes) {
       parts.emplace_back();
       bytes = 0;
     }
@@ -33,7 +31,7 @@
 }  // namespace
 
 void HandoverOutbox::AddInitial(const IssuerKey& issuer, TimePoint issuer_clock, std::vector<JournalRecord> records) {
-  std::vector<std::vector<JournalRecord>> parts = Split(std::move(records));
+  std::vector<std::vector<JournalRecord>> parts = Split(std::move(records), m_part_bytes);
   Handover part = m_frame;
   std::tie(part.m_issuer, part.m_issuer_incarnation) = issuer;
   part.m_issuer_clock_ns = issuer_clock.time_since_epoch().count();
--- a/src/request/handover_outbox.h
+++ b/src/request/handover_outbox.h
@@ -13,7 +13,7 @@
 class HandoverOutbox {
  public:
   /// `frame` carries the sender and the shard; the other fields are filled in here.
-  explicit HandoverOutbox(Handover frame) : m_frame(std::move(frame)) {}
+  HandoverOutbox(Handover frame, std::size_t part_bytes) : m_frame(std::move(frame)), m_part_bytes(part_bytes) {}
 
   /// Splits the records of an issuer incarnation into its initial parts.
   void AddInitial(const IssuerKey& issuer, TimePoint issuer_clock, std::vector<JournalRecord> records);
@@ -36,6 +36,7 @@
   void Add(Handover part);
 
   Handover m_frame;
+  std::size_t m_part_bytes;
   std::map<IssuerKey, std::pair<std::uint32_t, std::uint32_t>> m_next_part;
   std::map<PartKey, Handover> m_parts;
   std::vector<PartKey> m_new;
--- a/tests/request_fakes.h
+++ b/tests/request_fakes.h
@@ -68,6 +68,8 @@
   settings.m_host = HostId{host};
   settings.m_incarnation = Incarnation{incarnation};
   settings.m_key.fill(9);
+  // Small parts, so that handovers have several.
+  settings.m_handover_part_bytes = 512;
   return settings;
 }
 
--- /dev/null
+++ b/tests/request_picker_test.cc
@@ -0,0 +1,74 @@
+#include <gtest/gtest.h>
+
+#include <array>
+
+#include "fighatch/retry_budget.h"
+#include "fighatch/target_picker.h"
+#include "request_fakes.h"
+
+namespace fighatch::testing {
+namespace {
+
+constexpr TimePoint kNow = TimePoint(seconds(100));
+
+/// How often each of four idle targets is chosen when the first one reports `report` and the others report 2.
+std::array<int, 4> CountPicks(std::unique_ptr<PickStrategy> strategy, double report) {
+  TargetPicker picker(std::move(strategy));
+  Random random(1);
+  std::vector<TargetCandidate> candidates;
+  for (std::uint64_t target = 0; target < 4; ++target) candidates.push_back({TargetId{target}, 1, 1, 2});
+  candidates[0].m_reported_load = report;
+  std::array<int, 4> picks{};
+  for (int count = 0; count < 4000; ++count) {
+    const auto target = picker.Pick(candidates, TargetHealth(), kNow, &random);
+    ++picks.at(target->m_value);
+  }
+  return picks;
+}
+
+// Guards against a report that outweighs what the balancer sees itself.
+TEST(RequestPickerTest, OwnCountComesBeforeReports) {
+  TargetPicker picker(MakeLeastInProgress());
+  Random random(1);
+  const std::vector<TargetCandidate> candidates = {{TargetId{1}, 2, 1, 0}, {TargetId{2}, 1, 1, 100}};
+  EXPECT_EQ(picker.Pick(candidates, TargetHealth(), kNow, &random), TargetId{2});
+}
+
+// Guards against a liar that draws all ties, or the whole load as it does from plain power of two choices.
+TEST(RequestPickerTest, LiarDrawsAtMostTwiceItsShareOfTies) {
+  EXPECT_LE(CountPicks(MakeLeastInProgress(), -50).at(0), 2200);
+  EXPECT_LE(CountPicks(MakeLeastInProgress(), 0).at(0), 2200);
+}
+
+// Guards against targets without tokens being chosen, and against refusing all when all targets look dead.
+TEST(RequestPickerTest, TriesDeadLookingTargetsRatherThanNone) {
+  TargetPicker picker(MakeLeastInProgress());
+  Random random(1);
+  TargetHealth health;
+  for (int failures = 0; failures < 3; ++failures) health.OnFailure(TargetId{1}, kNow);
+  EXPECT_TRUE(health.IsSetAside(TargetId{1}, kNow + milliseconds(999)));
+  EXPECT_FALSE(health.IsSetAside(TargetId{1}, kNow + milliseconds(1000)));
+  const std::vector<TargetCandidate> both = {{TargetId{1}, 0, 1, 0}, {TargetId{2}, 1, 1, 0}};
+  EXPECT_EQ(picker.Pick(both, health, kNow, &random), TargetId{2});
+  EXPECT_EQ(picker.Pick(std::span(both).first(1), health, kNow, &random), TargetId{1});
+  const std::vector<TargetCandidate> no_tokens = {{TargetId{1}, 0, 0, 0}};
+  EXPECT_EQ(picker.Pick(no_tokens, health, kNow, &random), std::nullopt);
+}
+
+// Guards against retries above a tenth of the requests, and against a burst after a long calm.
+TEST(RequestPickerTest, RetryBudgetIsATenthWithABoundedBurst) {
+  RetryBudget budget;
+  int retries = 0;
+  for (int count = 0; count < 95; ++count) {
+    budget.OnRequest();
+    while (budget.Take()) ++retries;
+  }
+  EXPECT_EQ(retries, 9);
+  for (int count = 0; count < 100'000; ++count) budget.OnRequest();
+  retries = 0;
+  while (budget.Take()) ++retries;
+  EXPECT_EQ(retries, 100);
+}
+
+}  // namespace
+}  // namespace fighatch::testing
