Show owner tables in the member list of a balancer

Cause: broken flows at a join cannot be told from tables that differ between balancers without seeing the tables. Change: GET /v1/members lists each table with version and phase.

--- a/include/fighatch/table_update.h
+++ b/include/fighatch/table_update.h
@@ -66,6 +66,9 @@
   kMoving = 2,
 };
 
+/// "settled", "learning" or "moving".
+[[nodiscard]] std::string_view TransitionPhaseName(TransitionPhase phase) noexcept;
+
 /// The owners of one service's hash slots at one level, at one version. The owner of a slot by a list is a pure
 /// function of the list (weighted rendezvous hashing), so no slots are sent.
 struct OwnerTable {
--- a/programs/balancer/balancer_http.cc
+++ b/programs/balancer/balancer_http.cc
@@ -75,6 +75,16 @@
                          {"incarnation", member.m_incarnation.m_value}});
     }
   }
+  json tables = json::array();
+  if (m_control) {
+    for (const OwnerTable& table : m_control->Tables()) {
+      tables.push_back({{"service", table.m_service.m_value},
+                        {"data_centre", table.m_data_centre.m_value},
+                        {"epoch", table.m_version.m_epoch},
+                        {"generation", table.m_version.m_generation},
+                        {"phase", TransitionPhaseName(table.m_phase)}});
+    }
+  }
   json targets = json::array();
   if (m_control) {
     for (const TargetRecord* record : m_control->Registry().Live()) {
@@ -88,6 +98,7 @@
   return JsonResponse({{"host", m_settings.m_host.m_value},
                        {"coordinator", m_control ? m_control->GetCoordinator().Elected().m_value : 0},
                        {"members", members},
+                       {"tables", tables},
                        {"targets", targets}});
 }
 
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -72,6 +72,8 @@
   [[nodiscard]] const TargetRegistry& Registry() const noexcept { return m_registry; }
   [[nodiscard]] const Coordinator& GetCoordinator() const noexcept { return m_coordinator; }
   [[nodiscard]] const StateDocument& State() const noexcept { return m_state; }
+  /// The newest owner tables of the region, in use by the data plane.
+  [[nodiscard]] std::vector<OwnerTable> Tables() const;
 
  private:
   using Handler = void (ControlLoop::*)(const Envelope& message);
--- a/src/daemon/control_loop_tables.cc
+++ b/src/daemon/control_loop_tables.cc
@@ -58,10 +58,15 @@
   return targets;
 }
 
-void ControlLoop::RebuildTables(TimePoint now) {
-  m_tables_changed = false;
+std::vector<OwnerTable> ControlLoop::Tables() const {
   std::vector<OwnerTable> tables;
   for (const auto& [key, update] : m_tables) tables.push_back(update.m_table);
+  return tables;
+}
+
+void ControlLoop::RebuildTables(TimePoint now) {
+  m_tables_changed = false;
+  const std::vector<OwnerTable> tables = Tables();
   const std::vector<TargetInfo> targets = AllTargets();
   const std::vector<Member> members = m_membership.AllMembers();
   const std::vector<DataCentreId> cut_off = CutOffDataCentres(now);
--- a/src/target/target_state.cc
+++ b/src/target/target_state.cc
@@ -7,6 +7,8 @@
 
 constexpr std::array<std::string_view, 5> kNames = {"starting", "serving", "draining", "stopped", "suspect"};
 
+constexpr std::array<std::string_view, 3> kPhaseNames = {"settled", "learning", "moving"};
+
 }  // namespace
 
 std::string_view TargetStateName(TargetState state) noexcept {
@@ -14,4 +16,9 @@
   return index < kNames.size() ? kNames[index] : "unknown";
 }
 
+std::string_view TransitionPhaseName(TransitionPhase phase) noexcept {
+  const auto index = static_cast<std::size_t>(phase);
+  return index < kPhaseNames.size() ? kPhaseNames[index] : "unknown";
+}
+
 }  // namespace fighatch
