--- a/include/fighatch/silence_detector.h
+++ b/include/fighatch/silence_detector.h
@@ -16,8 +16,8 @@
 /// flows of the target make progress. Answers bypass the balancer, so retransmissions are all that it sees.
 ///
 /// Segments with less than 2 bytes of payload are left aside: keep-alives and window probes repeat on healthy flows.
-/// The table has a fixed size; under many flows an entry may be replaced before its segment is repeated, which delays
-/// detection and never resets a flow that works.
+/// The table has a fixed size. An entry watches one flow: until the flow makes progress, or for 2 s, or for 10 s after
+/// a repetition. Under many flows a silent one waits for a free entry, which delays its detection.
 class SilenceDetector {
  public:
   SilenceDetector();
@@ -32,12 +32,14 @@
 
  private:
   struct Segment {
-    std::uint64_t m_fingerprint = 0;
-    std::uint32_t m_sequence = 0;
-    std::uint32_t m_acknowledgement = 0;
+    /// Upper half of the fingerprint.
+    std::uint32_t m_tag = 0;
+    /// Sequence and acknowledgement number, mixed.
+    std::uint32_t m_numbers = 0;
     std::uint32_t m_first_tick = 0;
-    std::uint32_t m_last_tick = 0;
-    std::uint32_t m_count = 0;
+    std::uint16_t m_last_tick = 0;
+    /// Times that the segment was seen; 0 if the entry is free.
+    std::uint16_t m_count = 0;
   };
   struct Progress {
     std::uint64_t m_target = 0;
@@ -45,7 +47,7 @@
     std::uint32_t m_tick = 0;
   };
 
-  [[nodiscard]] Segment* FindSegment(std::uint64_t fingerprint, std::uint32_t tick) noexcept;
+  [[nodiscard]] bool IsSilentAt(Segment* segment, const Packet& packet, TargetId target, std::uint32_t tick) noexcept;
   void NoteProgress(std::uint64_t fingerprint, TargetId target, std::uint32_t tick) noexcept;
   [[nodiscard]] bool OthersProgress(std::uint64_t fingerprint, TargetId target, std::uint32_t tick) const noexcept;
 
--- a/src/flow/service_table_builder.cc
+++ b/src/flow/service_table_builder.cc
@@ -90,7 +90,14 @@
   AddSites();
   BuildShareMaps();
   BuildFallback();
-  for (std::uint32_t slot = 0; slot <= m_table->m_slot_mask; ++slot) AddSlot(slot);
+  const bool is_simple = HasOneOwnerEach();
+  for (std::uint32_t slot = 0; slot <= m_table->m_slot_mask; ++slot) {
+    if (is_simple) {
+      SetPacked(slot, Owner(m_share_maps.m_maps[0][slot], &LevelMaps::m_current, slot));
+    } else {
+      AddSlot(slot);
+    }
+  }
   m_table->m_changing.shrink_to_fit();
   return m_table;
 }
@@ -277,11 +284,21 @@
     m_table->m_changing.push_back(owners);
     return;
   }
-  if (owners.m_current == kNoOwner) return;
+  SetPacked(slot, owners.m_current);
+}
+
+bool ServiceTableBuilder::HasOneOwnerEach() const noexcept {
+  return m_share_maps.m_maps.size() == 1 && std::all_of(m_sites.begin(), m_sites.end(), [](const Site& site) {
+           return site.m_owners.m_maps.size() == 1 && !site.m_cut_off && !site.m_returned;
+         });
+}
+
+void ServiceTableBuilder::SetPacked(std::uint32_t slot, std::uint16_t owner) noexcept {
+  if (owner == kNoOwner) return;
   const std::uint32_t bit = slot << m_table->m_width_log2;
   std::uint32_t& word = m_table->m_packed[bit >> 5U];
   word &= ~(m_table->m_width_mask << (bit & 31U));
-  word |= static_cast<std::uint32_t>(owners.m_current) << (bit & 31U);
+  word |= static_cast<std::uint32_t>(owner) << (bit & 31U);
 }
 
 }  // namespace fighatch
--- a/src/flow/service_table_builder.h
+++ b/src/flow/service_table_builder.h
@@ -64,7 +64,9 @@
   void BuildShareMaps();
   void BuildFallback();
   void ChooseWidth();
+  [[nodiscard]] bool HasOneOwnerEach() const noexcept;
   void AddSlot(std::uint32_t slot);
+  void SetPacked(std::uint32_t slot, std::uint16_t owner) noexcept;
   [[nodiscard]] ServiceTable::ChangingSlot OwnersOf(std::uint32_t slot) const;
   [[nodiscard]] bool IsSettled(std::uint32_t slot, const ServiceTable::ChangingSlot& owners) const;
   [[nodiscard]] std::uint16_t Owner(std::uint16_t site, std::size_t LevelMaps::*list, std::uint32_t slot) const;
