Let a stale balancer follow the records that it holds

A stale keeper also spread its flows over several fresh peers.

Change: a stale balancer looks for a record first; a stale keeper hands its packets to the second keeper, so that all packets of a flow meet at one balancer.

--- a/src/flow/flow_decider.cc
+++ b/src/flow/flow_decider.cc
@@ -46,8 +46,17 @@
     return decision;
   }
   if (IsStale(now)) {
+    // The record may come from a balancer with a newer table, by which the slot is not settled.
+    const TargetEntry* recorded = RecordedTarget(context);
+    if (recorded != nullptr) return SendToTarget(context, *recorded);
     const BalancerEntry* peer = FreshPeer(context);
-    if (peer != nullptr && RecordedTarget(context) == nullptr) {
+    if (peer != nullptr) {
+      // All packets of a flow must meet at one balancer: a stale keeper asks the second keeper, not any fresh peer.
+      const KeeperPair keepers = m_table->Keepers().Find(m_table->SelfDataCentre(), packet.m_flow_hash);
+      const bool is_keeper = keepers.m_first != nullptr && keepers.m_first->m_host == m_table->Self();
+      if (is_keeper && keepers.m_second != nullptr && !keepers.m_second->m_suspect) {
+        return SendToBalancer(context, keepers.m_second, ForwardReason::kSecondKeeper);
+      }
       return SendToBalancer(context, peer, ForwardReason::kStaleTable);
     }
   }
--- a/tests/flow_state_test.cc
+++ b/tests/flow_state_test.cc
@@ -61,5 +61,15 @@
       std::vector<std::string>{});
 }
 
+// Guards against a balancer with a stale table that holds a flow's record and yet follows its settled slot. Failed with
+// "13802 ms: established flow moved from 1101: flow 50 kind 2 target 1103".
+TEST(FlowStateRegressionTest, AStaleBalancerFollowsTheRecordsThatItHolds) {
+  EXPECT_EQ(Replay({{StepKind{2}, 8, 2, 173513},
+                    {StepKind{1}, 3, 0, 1},
+                    {StepKind{0}, 10, 0, 143240},
+                    {StepKind{1}, 16, 10, 205451}}),
+            std::vector<std::string>{});
+}
+
 }  // namespace
 }  // namespace fighatch
