Send unchanged targets in the short form; work once per coordinator tick

Cause: a target that had answered a health check was sent whole with every announcement, and a tick walked all targets once for each service.

Change: the health mark does not count as a change of an announcement; live targets are grouped by service and receivers are worked out once per tick. The benchmark holds the coordinator to the bound of a balancer too.

--- a/bench/target_control.cc
+++ b/bench/target_control.cc
@@ -147,7 +147,7 @@
   Print("control_bytes.facts_per_host" + suffix, static_cast<double>(plane.m_fact_bytes) / others / kSeconds, "B/s",
         std::nullopt, std::nullopt);
   Print("control_bytes.balancer" + suffix, total / hosts / kSeconds, "B/s", kBound, std::nullopt);
-  Print("control_bytes.coordinator" + suffix, total * others / hosts / kSeconds, "B/s", std::nullopt, std::nullopt);
+  Print("control_bytes.coordinator" + suffix, total * others / hosts / kSeconds, "B/s", kBound, std::nullopt);
 }
 
 void LeaseTime(std::uint32_t hosts, std::uint32_t targets) {
--- a/include/fighatch/coordinator.h
+++ b/include/fighatch/coordinator.h
@@ -81,6 +81,9 @@
  private:
   using TableKey = std::pair<ServiceId, DataCentreId>;
 
+  /// Records of the live targets of one service.
+  using LiveTargets = std::vector<const TargetRecord*>;
+
   struct Yielded {
     Version m_version;
     ResendClock m_resend;
@@ -129,17 +132,18 @@
   [[nodiscard]] std::optional<std::size_t> KnownStep(const TargetInfo& info) const;
   void SetAllowances(const TargetRegistry& registry, TimePoint now);
 
-  void PublishTargets(const Service& service, const TargetRegistry& registry, TimePoint now);
+  void PublishTargets(ServiceId service, const LiveTargets& live, const TargetRegistry& registry,
+                      const std::set<HostId>& receivers, TimePoint now);
   /// True if no target of the service is both serving, heard of late and healthy.
-  [[nodiscard]] bool AllLookDead(const Service& service, const TargetRegistry& registry, TimePoint now) const;
-  [[nodiscard]] std::vector<OwnerEntry> WantedTargets(const Service& service, const OwnerTable& table,
+  [[nodiscard]] static bool AllLookDead(const LiveTargets& live, const TargetRegistry& registry, TimePoint now);
+  [[nodiscard]] std::vector<OwnerEntry> WantedTargets(const LiveTargets& live, const OwnerTable& table,
                                                       const TargetRegistry& registry, TimePoint now) const;
   void RemoveDeadTargets(TablePublication* publication, const TargetRegistry& registry, TimePoint now);
   [[nodiscard]] bool IsInGrace(TargetId target, const TargetRegistry& registry, TimePoint now) const;
   [[nodiscard]] static std::vector<TargetInfo> Describe(const TablePublication& publication,
                                                         const TargetRegistry& registry);
 
-  void PublishDataCentres(const Service& service, TimePoint now);
+  void PublishDataCentres(const Service& service, const std::set<HostId>& receivers, TimePoint now);
   void UpdateDataCentreRamps(TimePoint now);
   [[nodiscard]] std::vector<OwnerEntry> WantedDataCentres(const Service& service) const;
 
--- a/src/target/coordinator.cc
+++ b/src/target/coordinator.cc
@@ -249,12 +249,14 @@
     RaiseEpoch(now);
     return actions;
   }
+  const std::set<HostId> receivers = Receivers();
+  std::map<ServiceId, LiveTargets> live;
+  for (const TargetRecord* record : registry.Live()) live[record->m_fact.m_info.m_service].push_back(record);
   for (const auto& [name, service] : m_state.m_services) {
-    PublishTargets(service, registry, now);
-    if (region) PublishDataCentres(service, now);
+    PublishTargets(service.m_id, live[service.m_id], registry, receivers, now);
+    if (region) PublishDataCentres(service, receivers, now);
   }
   if (!region) YieldTables([](DataCentreId data_centre) { return data_centre == DataCentreId{}; });
-  const std::set<HostId> receivers = Receivers();
   for (auto& [key, publication] : m_active->m_tables) {
     publication.Collect(receivers, now, &actions.m_updates);
     TableUpdate& known = m_known[key];
--- a/src/target/coordinator_data_centres.cc
+++ b/src/target/coordinator_data_centres.cc
@@ -50,7 +50,7 @@
   return wanted;
 }
 
-void Coordinator::PublishDataCentres(const Service& service, TimePoint now) {
+void Coordinator::PublishDataCentres(const Service& service, const std::set<HostId>& receivers, TimePoint now) {
   TablePublication& publication = PublicationOf({service.m_id, DataCentreId{}});
   for (const auto& [name, data_centre] : m_state.m_data_centres) {
     if (data_centre.m_state == DataCentreState::kOut) publication.Transition().Remove(data_centre.m_id.m_value);
@@ -60,7 +60,7 @@
     const DataCentre* data_centre = FindDataCentre(DataCentreId{static_cast<std::uint16_t>(id)});
     return data_centre != nullptr && data_centre->m_state == DataCentreState::kIn;
   };
-  publication.Transition().Advance(Receivers(), is_in, now);
+  publication.Transition().Advance(receivers, is_in, now);
 }
 
 }  // namespace fighatch
--- a/src/target/coordinator_targets.cc
+++ b/src/target/coordinator_targets.cc
@@ -107,11 +107,12 @@
   return registry.FindAny(target) == nullptr && now - m_active->m_since < kTargetWithdrawnAfter;
 }
 
-void Coordinator::PublishTargets(const Service& service, const TargetRegistry& registry, TimePoint now) {
-  const TableKey key{service.m_id, m_config.m_data_centre};
+void Coordinator::PublishTargets(ServiceId service, const LiveTargets& live, const TargetRegistry& registry,
+                                 const std::set<HostId>& receivers, TimePoint now) {
+  const TableKey key{service, m_config.m_data_centre};
   TablePublication& publication = PublicationOf(key);
-  std::vector<OwnerEntry> wanted = WantedTargets(service, publication.Transition().Table(), registry, now);
-  const bool last_resort = AllLookDead(service, registry, now);
+  std::vector<OwnerEntry> wanted = WantedTargets(live, publication.Transition().Table(), registry, now);
+  const bool last_resort = AllLookDead(live, registry, now);
   if (last_resort && !publication.Transition().Table().m_current.empty()) {
     // Targets that went silent stay, so that packets try them; those that said that they leave go.
     wanted = publication.Transition().Table().m_current;
@@ -126,28 +127,26 @@
   const auto is_live = [&](std::uint64_t id) {
     return registry.Find(TargetId{id}) != nullptr || IsInGrace(TargetId{id}, registry, now);
   };
-  publication.Transition().Advance(Receivers(), is_live, now);
+  publication.Transition().Advance(receivers, is_live, now);
   publication.Describe(Describe(publication, registry));
 }
 
-bool Coordinator::AllLookDead(const Service& service, const TargetRegistry& registry, TimePoint now) const {
-  const std::vector<const TargetRecord*> live = registry.Live();
+bool Coordinator::AllLookDead(const LiveTargets& live, const TargetRegistry& registry, TimePoint now) {
   return std::none_of(live.begin(), live.end(), [&](const TargetRecord* record) {
-    return record->m_fact.m_info.m_service == service.m_id && registry.StateOf(*record, now) == TargetState::kServing &&
-           record->m_fact.m_healthy;
+    return registry.StateOf(*record, now) == TargetState::kServing && record->m_fact.m_healthy;
   });
 }
 
-std::vector<OwnerEntry> Coordinator::WantedTargets(const Service& service, const OwnerTable& table,
+std::vector<OwnerEntry> Coordinator::WantedTargets(const LiveTargets& live, const OwnerTable& table,
                                                    const TargetRegistry& registry, TimePoint now) const {
   std::vector<OwnerEntry> wanted;
   std::vector<OwnerEntry> untested;
-  for (const TargetRecord* record : registry.Live()) {
-    const TargetInfo& info = record->m_fact.m_info;
-    if (info.m_service != service.m_id || !IsServing(*record)) continue;
-    const std::uint16_t weight = m_active->m_ramps.at(info.m_id).Weight();
-    if (weight > 0) wanted.push_back({info.m_id.m_value, weight});
-    untested.push_back({info.m_id.m_value, kLastResortWeight});
+  for (const TargetRecord* record : live) {
+    if (!IsServing(*record)) continue;
+    const TargetId id = record->m_fact.m_info.m_id;
+    const std::uint16_t weight = m_active->m_ramps.at(id).Weight();
+    if (weight > 0) wanted.push_back({id.m_value, weight});
+    untested.push_back({id.m_value, kLastResortWeight});
   }
   for (const OwnerEntry& entry : table.m_current) {
     if (IsInGrace(TargetId{entry.m_id}, registry, now)) wanted.push_back(entry);
--- a/src/target/target_registry.cc
+++ b/src/target/target_registry.cc
@@ -36,8 +36,8 @@
 /// True if the short form says all that changed. It leaves out uptime, so a restart under the same incarnation needs
 /// the whole fact.
 bool OnlyRefreshes(const TargetFact& before, const TargetFact& after) {
-  return before.m_info == after.m_info && before.m_healthy == after.m_healthy &&
-         after.m_load.m_uptime_ms >= before.m_load.m_uptime_ms && after.m_sequence <= UINT32_MAX;
+  return before.m_info == after.m_info && after.m_load.m_uptime_ms >= before.m_load.m_uptime_ms &&
+         after.m_sequence <= UINT32_MAX;
 }
 
 }  // namespace
--- a/tests/target_announcement_test.cc
+++ b/tests/target_announcement_test.cc
@@ -172,6 +172,9 @@
   facts.m_facts[0].m_info.m_state = TargetState::kDraining;
   other.Merge(facts, elsewhere);
   EXPECT_EQ(other.Find(m_id)->m_fact.m_info.m_state, TargetState::kServing);
+  // A health check that was answered once made every later fact go whole.
+  m_registry.OnHealthCheck(m_id, Incarnation{4}, true);
+  (void)m_registry.TakeFacts(HostId{1}, kStart);
   ASSERT_EQ(Announce(MakeAnnouncement(6), kStart + seconds(1)), ErrorCode::kOk);
   facts = m_registry.TakeFacts(HostId{1}, kStart + seconds(1));
   ASSERT_EQ(facts.m_refreshes.size(), 1U) << "an unchanged target goes in the short form";
