Make the regression test of a regained majority fail without its fix

Cause: the named test passed on a scratch copy without StartAgain.

Change: after the partition one host comes over to the former minority while the others keep their tokens.

Measured: with StartAgain taken out of a scratch copy the test fails; with it allowance_lease_test passes (11 tests).

--- a/tests/allowance_lease_test.cc
+++ b/tests/allowance_lease_test.cc
@@ -166,7 +166,9 @@
     model.m_longest_request = seconds(10);
     Inject(&model, {.m_kind = 3, .m_host = 0, .m_size = 2});
     RunBusy(&model, seconds(24));
+    // Host 4 comes over and gives the minority its majority; hosts 5 to 7 still use what they were granted.
     Inject(&model, {.m_kind = 9});
+    Inject(&model, {.m_kind = 3, .m_host = 0, .m_size = 3});
     RunBusy(&model, seconds(5));
     EXPECT_EQ(model.m_worst_excess, 0U) << seed;
   }
