Count reports of lease requests once

Cause: a late copy of a request under a former epoch is answered with the new epoch, and its sheds were counted again.

Change: sheds and latency are taken only from requests under the present epoch.

Conclusion: a duplicate cannot push a target down its ramp.

--- a/src/target/coordinator.cc
+++ b/src/target/coordinator.cc
@@ -223,7 +223,8 @@
     RaiseEpoch(now);
   }
   std::optional<LeaseGrant> grant = m_active->m_grantor.OnRequest(request, now);
-  if (!grant) return grant;
+  // A request under a former epoch may be a late copy whose reports were counted before.
+  if (!grant || request.m_epoch != m_active->m_epoch) return grant;
   for (const TargetUse& use : request.m_uses) {
     const auto ramp = m_active->m_ramps.find(use.m_target);
     if (ramp == m_active->m_ramps.end()) continue;
