--- a/src/target/coordinator.cc
+++ b/src/target/coordinator.cc
@@ -223,7 +223,8 @@
     RaiseEpoch(now);
   }
   std::optional<LeaseGrant> grant = m_active->m_grantor.OnRequest(request, now);
-  if (!grant) return grant;
+  // A request under a former epoch may be a late copy whose reports were counted before.
+  if (!grant || request.m_epoch != m_active->m_epoch) return grant;
   for (const TargetUse& use : request.m_uses) {
     const auto ramp = m_active->m_ramps.find(use.m_target);
     if (ramp == m_active->m_ramps.end()) continue;
@@ -249,12 +250,14 @@
     RaiseEpoch(now);
     return actions;
   }
+  const std::set<HostId> receivers = Receivers();
+  std::map<ServiceId, LiveTargets> live;
+  for (const TargetRecord* record : registry.Live()) live[record->m_fact.m_info.m_service].push_back(record);
   for (const auto& [name, service] : m_state.m_services) {
-    PublishTargets(service, registry, now);
-    if (region) PublishDataCentres(service, now);
+    PublishTargets(service.m_id, live[service.m_id], registry, receivers, now);
+    if (region) PublishDataCentres(service, receivers, now);
   }
   if (!region) YieldTables([](DataCentreId data_centre) { return data_centre == DataCentreId{}; });
-  const std::set<HostId> receivers = Receivers();
   for (auto& [key, publication] : m_active->m_tables) {
     publication.Collect(receivers, now, &actions.m_updates);
     TableUpdate& known = m_known[key];
