Answer datagrams that do not parse and refuse truthfully at the call limit

Change: event MalformedDatagram; the call limit answers not-run where no id is involved. Conclusion: every datagram of a caller gets an answer.

--- a/include/fighatch/request_event.h
+++ b/include/fighatch/request_event.h
@@ -26,6 +26,14 @@
   HttpRequest m_request;
 };
 
+/// A datagram of a caller that `ParseRequestDatagram` refused.
+struct MalformedDatagram {
+  Endpoint m_caller;
+  Endpoint m_service_address;
+  /// `kRequestMalformed` or `kRequestTooLarge`.
+  ErrorCode m_code = ErrorCode::kRequestMalformed;
+};
+
 /// A forwarded request could not be passed to the other balancer.
 struct ForwardFailed {
   std::uint64_t m_forward_id = 0;
@@ -95,9 +103,9 @@
 
 /// An input of the engine.
 using RequestEvent =
-    std::variant<CallerRequest, ForwardedRequest, ForwardedAnswer, ForwardFailed, TargetResponded, TargetFailed,
-                 TimerExpired, AllowanceChanged, LoadReported, MemberAlive, MemberDied, ServiceChanged, TargetsChanged,
-                 StopRequested, Handover, HandoverAck, SuccessorNotice>;
+    std::variant<CallerRequest, MalformedDatagram, ForwardedRequest, ForwardedAnswer, ForwardFailed, TargetResponded,
+                 TargetFailed, TimerExpired, AllowanceChanged, LoadReported, MemberAlive, MemberDied, ServiceChanged,
+                 TargetsChanged, StopRequested, Handover, HandoverAck, SuccessorNotice>;
 
 /// Parses a datagram that must hold one whole request. Errors: `kRequestMalformed`, `kRequestTooLarge`.
 [[nodiscard]] Result<HttpRequest> ParseRequestDatagram(std::span<const std::byte> datagram);
--- a/src/request/engine_arrivals.cc
+++ b/src/request/engine_arrivals.cc
@@ -58,6 +58,10 @@
   Arrive({event.m_service, std::move(event.m_request), std::move(waiter), m_now + ValueOf(timeout), 0});
 }
 
+void RequestEngineState::On(const MalformedDatagram& event) {
+  Reply(CallerWaiter{event.m_caller, event.m_service_address, {}}, MakeRefusal(event.m_code));
+}
+
 void RequestEngineState::On(ForwardedRequest event) {
   const PeerWaiter waiter{event.m_origin, event.m_origin_incarnation, event.m_forward_id};
   const Duration left = std::clamp<Duration>(Duration(event.m_time_left_ns), Duration{}, kMaxRequestTimeout);
@@ -65,7 +69,7 @@
 }
 
 void RequestEngineState::Arrive(Arrival arrival) {
-  if (m_calls.size() >= m_settings.m_call_limit) return Reply(arrival.m_waiter, MakeUnknown());
+  if (m_calls.size() >= m_settings.m_call_limit) return Reply(arrival.m_waiter, OverloadAnswer(arrival));
   const HttpRequest& request = arrival.m_request;
   if (request.m_method == "DELETE" && request.m_path.starts_with(kCancelPrefix)) {
     const std::string text = request.m_path.substr(kCancelPrefix.size());
@@ -81,6 +85,13 @@
   ArriveWithId(std::move(arrival), *service);
 }
 
+RequestAnswer RequestEngineState::OverloadAnswer(const Arrival& arrival) {
+  // A request with an id may be in the journal, or be dispatched when it is sent again.
+  const bool has_id = FindHeader(arrival.m_request.m_headers, "Idempotency-Key").has_value();
+  const bool cancels = arrival.m_request.m_method == "DELETE";
+  return has_id || cancels ? MakeUnknown() : MakeRefusal(ErrorCode::kRequestOverloaded);
+}
+
 void RequestEngineState::ArriveIdempotent(Arrival arrival) {
   if (PassToSuccessor(arrival)) return;
   Enqueue(AddCall(std::move(arrival), CallPhase::kQueued));
--- a/src/request/engine_state.h
+++ b/src/request/engine_state.h
@@ -36,6 +36,7 @@
 
  private:
   void On(CallerRequest event);
+  void On(const MalformedDatagram& event);
   void On(ForwardedRequest event);
   void On(const ForwardedAnswer& event);
   void On(const ForwardFailed& event);
@@ -54,6 +55,7 @@
   void On(const SuccessorNotice& event);
 
   // Arrivals.
+  [[nodiscard]] RequestAnswer OverloadAnswer(const Arrival& arrival);
   void Arrive(Arrival arrival);
   void ArriveIdempotent(Arrival arrival);
   void ArriveWithId(Arrival arrival, ServiceState& service);
--- a/tests/request_engine_test.cc
+++ b/tests/request_engine_test.cc
@@ -153,6 +153,21 @@
   EXPECT_EQ(refused, 40U - 1U - 19U);
 }
 
+// Guards against callers that wait in vain for an answer to a datagram that does not parse or is too large.
+TEST(RequestEngineTest, MalformedDatagramsAreRefused) {
+  EngineFixture fixture;
+  const auto verdict = [&fixture](std::string text) {
+    const Result<HttpRequest> parsed = ParseRequestDatagram(std::as_bytes(std::span(text)));
+    if (IsOk(parsed)) return std::string("parsed");
+    return Verdict(Only<SendAnswer>(fixture.Handle(MalformedDatagram{{}, {}, ErrorOf(parsed).m_code})).m_response);
+  };
+  const std::string whole = ToString(MakeRequest("POST", "/weigh", {}, "cow 7").m_request);
+  EXPECT_EQ(verdict(whole), "parsed");
+  EXPECT_EQ(verdict(whole.substr(0, whole.size() - 1)), "not-run 5006");
+  EXPECT_EQ(verdict(whole + "x"), "not-run 5006");
+  EXPECT_EQ(verdict(ToString(MakeRequest("POST", "/", {}, std::string(17'000, 'x')).m_request)), "not-run 5007");
+}
+
 // Guards against the most urgent request waiting behind patient ones.
 TEST(RequestEngineTest, QueueServesTheEarliestDeadlineFirst) {
   EngineFixture fixture(1, 1);
