Run the replicated log in fighatch-control

Cause: tickets were applied on one host and kept in memory.

Code 3011 tells a ticket whose outcome is unknown from one that was not accepted.

--- a/include/fighatch/error.h
+++ b/include/fighatch/error.h
@@ -45,6 +45,7 @@
   kTicketTooLarge = 3008,
   kTicketNotLeader = 3009,
   kTicketNoQuorum = 3010,
+  kTicketOutcomeUnknown = 3011,
 
   kMessageTruncated = 4001,
   kMessageOversized = 4002,
--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -122,6 +122,8 @@
     LogIndex m_next = 1;
     // A request is on its way; the next one goes out with the reply or the heartbeat.
     bool m_awaiting = false;
+    // The commit index of the last request.
+    LogIndex m_sent_commit = 0;
     // The newest leader time that the member has returned.
     TimePoint m_confirmed;
     // The snapshot being sent and how much of it has arrived.
--- a/programs/ctl/control_client.cc
+++ b/programs/ctl/control_client.cc
@@ -21,7 +21,8 @@
 bool IsFinalTicketAnswer(const json& answer) {
   const int code = answer.value("code", -1);
   return code >= 0 && code != static_cast<int>(ErrorCode::kTicketNotLeader) &&
-         code != static_cast<int>(ErrorCode::kTicketNoQuorum);
+         code != static_cast<int>(ErrorCode::kTicketNoQuorum) &&
+         code != static_cast<int>(ErrorCode::kTicketOutcomeUnknown);
 }
 
 }  // namespace
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -40,6 +40,8 @@
     {ErrorCode::kTicketNotLeader, "ticket_not_leader", "this control host is not the leader"},
     {ErrorCode::kTicketNoQuorum, "ticket_no_quorum",
      "no majority of control hosts confirmed the ticket; it was not accepted"},
+    {ErrorCode::kTicketOutcomeUnknown, "ticket_outcome_unknown",
+     "the ticket was not confirmed in time; resend it to learn the outcome"},
     {ErrorCode::kMessageTruncated, "message_truncated", "a message ends early"},
     {ErrorCode::kMessageOversized, "message_oversized", "a message is larger than the limit"},
     {ErrorCode::kMessageUnknownVersion, "message_unknown_version", "a message version that is not supported"},
--- a/src/consensus/raft_leader.cc
+++ b/src/consensus/raft_leader.cc
@@ -24,6 +24,7 @@
 
 void RaftNode::SendTo(const RaftPeer& peer, Progress& progress) {
   progress.m_awaiting = true;
+  progress.m_sent_commit = m_commit;
   const LogIndex previous = progress.m_next - 1;
   const std::optional<Term> previous_term = m_log.TermAt(previous);
   if (!previous_term) return SendChunk(peer, progress);
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -81,7 +81,9 @@
 RaftOutput RaftNode::TakeOutput() {
   if (m_role == RaftRole::kLeader) {
     for (auto& [peer, progress] : m_progress) {
-      if (!progress.m_awaiting && progress.m_next <= m_log.LastIndex()) SendTo(peer, progress);
+      // A new commit index goes out at once: followers serve the state to balancers.
+      const bool has_news = progress.m_next <= m_log.LastIndex() || progress.m_sent_commit < m_commit;
+      if (!progress.m_awaiting && has_news) SendTo(peer, progress);
     }
   }
   return std::exchange(m_output, {});
--- /dev/null
+++ b/src/daemon/blocking_worker.h
@@ -0,0 +1,66 @@
+#ifndef FIGHATCH_DAEMON_BLOCKING_WORKER_H_
+#define FIGHATCH_DAEMON_BLOCKING_WORKER_H_
+
+#include <boost/fiber/future/future.hpp>
+#include <boost/fiber/future/packaged_task.hpp>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "fighatch/result.h"
+
+namespace fighatch::daemon {
+
+/// Runs file calls on a thread of its own, so that a slow disk suspends one fiber and not all of them.
+class BlockingWorker {
+ public:
+  BlockingWorker() : m_thread([this] { Loop(); }) {}
+  ~BlockingWorker() {
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_stopping = true;
+    }
+    m_changed.notify_one();
+    m_thread.join();
+  }
+  BlockingWorker(const BlockingWorker&) = delete;
+  BlockingWorker& operator=(const BlockingWorker&) = delete;
+
+  /// Runs the call and suspends the calling fiber until it has returned. One fiber at a time may call it.
+  [[nodiscard]] Status Run(std::function<Status()> call) {
+    boost::fibers::packaged_task<Status()> task(std::move(call));
+    boost::fibers::future<Status> result = task.get_future();
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_task = std::move(task);
+    }
+    m_changed.notify_one();
+    return result.get();
+  }
+
+ private:
+  void Loop() {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    for (;;) {
+      m_changed.wait(lock, [this] { return m_stopping || m_task; });
+      if (!m_task) return;
+      boost::fibers::packaged_task<Status()> task = std::move(*m_task);
+      m_task.reset();
+      lock.unlock();
+      task();
+      lock.lock();
+    }
+  }
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::optional<boost::fibers::packaged_task<Status()>> m_task;
+  bool m_stopping = false;
+  std::thread m_thread;
+};
+
+}  // namespace fighatch::daemon
+
+#endif  // FIGHATCH_DAEMON_BLOCKING_WORKER_H_
--- a/src/daemon/control_http.cc
+++ b/src/daemon/control_http.cc
@@ -34,6 +34,7 @@
       return 409;
     case ErrorCode::kTicketNotLeader:
     case ErrorCode::kTicketNoQuorum:
+    case ErrorCode::kTicketOutcomeUnknown:
       return 503;
     default:
       return 422;
@@ -135,6 +136,8 @@
   }
   const AcceptedTicket* accepted = m_backend->Processor().FindAccepted(number);
   ordered_json json{{"number", number.m_value}, {"accepted", accepted != nullptr}};
+  // Only a leader with a lease knows that a ticket which it does not have was not accepted elsewhere.
+  json["confirmed"] = accepted != nullptr || m_backend->ConfirmsReads();
   if (accepted != nullptr) {
     json["digest"] = DigestToHex(accepted->m_digest);
     json["author"] = accepted->m_author;
--- a/src/daemon/ticket_backend.h
+++ b/src/daemon/ticket_backend.h
@@ -36,8 +36,8 @@
  public:
   virtual ~TicketBackend() = default;
 
-  /// Brings the ticket to a majority and applies it; suspends the fiber. Answers `kTicketNotLeader` and
-  /// `kTicketNoQuorum` mean that this host did not see the ticket accepted.
+  /// Brings the ticket to a majority and applies it; suspends the fiber. After `kTicketNotLeader` and
+  /// `kTicketNoQuorum` the ticket was not proposed here; after `kTicketOutcomeUnknown` it may still be accepted.
   [[nodiscard]] virtual TicketAnswer Submit(const Ticket& ticket) = 0;
 
   /// The state machine at the newest entry that was applied here.
@@ -47,6 +47,9 @@
   virtual void WaitForNewer(Version version, io::Deadline deadline) = 0;
 
   [[nodiscard]] virtual ReplicaStatus GetStatus() const = 0;
+
+  /// True if the state here is up to date: this host is the leader and holds a lease.
+  [[nodiscard]] virtual bool ConfirmsReads() const = 0;
 };
 
 }  // namespace fighatch::daemon
--- /dev/null
+++ b/tests/control_process_test.cc
@@ -0,0 +1,280 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sodium.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/fiber/operations.hpp>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "daemon/operator_key.h"
+#include "fighatch/state_delta.h"
+#include "io/http_client.h"
+#include "io/tcp_stream.h"
+
+extern char** environ;
+
+namespace fighatch {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr std::uint32_t kHosts = 3;
+const std::string kFolder = std::string(FIGHATCH_BINARY_DIR) + "/control_process_test_data";
+
+Endpoint FreeEndpoint() {
+  auto listener = io::TcpListener::Listen(ValueOf(ParseEndpoint("127.0.0.1:0")));
+  return ValueOf(listener).Local();
+}
+
+// A started program, which is killed at the end.
+class Process {
+ public:
+  Process(const std::string& program, const std::vector<std::string>& arguments) {
+    std::string path = std::string(FIGHATCH_BINARY_DIR) + "/" + program;
+    std::vector<std::string> copies = arguments;
+    std::vector<char*> argv{path.data()};
+    for (std::string& argument : copies) argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    EXPECT_EQ(posix_spawn(&m_pid, path.c_str(), nullptr, nullptr, argv.data(), environ), 0);
+  }
+  ~Process() { Signal(SIGKILL), (void)Wait(); }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Signal(int number) const {
+    if (m_pid > 0) kill(m_pid, number);
+  }
+  int Wait() {
+    int status = 0;
+    if (m_pid > 0) waitpid(m_pid, &status, 0);
+    m_pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+
+ private:
+  pid_t m_pid = -1;
+};
+
+std::string MakeTicket(std::uint64_t number, int author) {
+  return json{{"number", number},
+              {"author", "operator-" + std::to_string(author)},
+              {"data_centres", {{{"name", "dc" + std::to_string(number)}, {"region", std::to_string(author)}}}}}
+      .dump();
+}
+
+class ControlProcessTest : public testing::Test {
+ protected:
+  ControlProcessTest() {
+    std::filesystem::remove_all(kFolder);
+    std::filesystem::create_directories(kFolder);
+    std::ofstream(kFolder + "/operator.key") << std::string(64, '7') << "\n";
+    for (std::uint32_t host = 1; host <= kHosts; ++host) {
+      m_http[host] = FreeEndpoint();
+      m_messages[host] = FreeEndpoint();
+    }
+    for (std::uint32_t host = 1; host <= kHosts; ++host) {
+      WriteSettings(host);
+      EXPECT_EQ(Process("fighatch-control", {"--config", Settings(host), "--found"}).Wait(), 0);
+      Start(host);
+    }
+  }
+  ~ControlProcessTest() override {
+    m_processes.clear();
+    std::filesystem::remove_all(kFolder);
+  }
+
+  static std::string Settings(std::uint32_t host) { return kFolder + "/control" + std::to_string(host) + ".json"; }
+  static std::string DataFolder(std::uint32_t host) { return kFolder + "/data" + std::to_string(host); }
+
+  void WriteSettings(std::uint32_t host) {
+    json hosts = json::array();
+    for (std::uint32_t id = 1; id <= kHosts; ++id) {
+      hosts.push_back({{"host", id}, {"messages", ToString(m_messages[id])}, {"http", ToString(m_http[id])}});
+    }
+    std::ofstream(Settings(host)) << json{{"host", host},
+                                          {"data_centre", "dc"},
+                                          {"data_folder", DataFolder(host)},
+                                          {"operator_key_file", kFolder + "/operator.key"},
+                                          {"snapshot_entries", 32},
+                                          {"control_hosts", hosts}};
+  }
+  void Start(std::uint32_t host) {
+    m_processes[host] =
+        std::make_unique<Process>("fighatch-control", std::vector<std::string>{"--config", Settings(host)});
+  }
+  void Kill(std::uint32_t host) { m_processes.erase(host); }
+
+  Result<HttpResponse> Get(std::uint32_t host, const std::string& path) {
+    return io::HttpExchange(m_http[host], {"GET", path, {}, ""}, steady_clock::now() + milliseconds(3000));
+  }
+  json GetJson(std::uint32_t host, const std::string& path) {
+    const Result<HttpResponse> response = Get(host, path);
+    return IsOk(response) ? json::parse(ValueOf(response).m_body, nullptr, false) : json();
+  }
+  // The answer of one host to a ticket; null if it was lost.
+  json Post(std::uint32_t host, const std::string& ticket) {
+    const HttpRequest request{"POST", "/v1/tickets", {{"Fighatch-Signature", m_key.Sign(ticket)}}, ticket};
+    const Result<HttpResponse> response =
+        io::HttpExchange(m_http[host], request, steady_clock::now() + milliseconds(4000));
+    return IsOk(response) ? json::parse(ValueOf(response).m_body, nullptr, false) : json();
+  }
+  // Sends a ticket to the hosts in turn until one gives a final answer.
+  json PostUntilFinal(const std::string& ticket) {
+    for (std::uint32_t attempt = 0;; ++attempt) {
+      const json answer = Post(attempt % kHosts + 1, ticket);
+      const int code = answer.is_object() ? answer.value("code", 3010) : 3010;
+      if (code != 3009 && code != 3010 && code != 3011) return answer;
+      boost::this_fiber::sleep_for(milliseconds(10));
+    }
+  }
+  // The number of the leader, once there is one that knows it is.
+  std::uint32_t WaitForLeader() {
+    for (;;) {
+      for (std::uint32_t host = 1; host <= kHosts; ++host) {
+        const json health = GetJson(host, "/v1/health");
+        if (health.is_object() && health.value("role", "") == "leader") return host;
+      }
+      boost::this_fiber::sleep_for(milliseconds(20));
+    }
+  }
+  void WaitUntilEqual() {
+    for (;;) {
+      std::set<std::uint64_t> applied;
+      for (std::uint32_t host = 1; host <= kHosts; ++host) {
+        const json health = GetJson(host, "/v1/health");
+        applied.insert(health.is_object() ? health.value("applied", 0ULL) : host);
+        applied.insert(health.is_object() ? health.value("last", 0ULL) : 0);
+      }
+      if (applied.size() == 1) return;
+      boost::this_fiber::sleep_for(milliseconds(20));
+    }
+  }
+
+  std::map<std::uint32_t, Endpoint> m_http;
+  std::map<std::uint32_t, Endpoint> m_messages;
+  std::map<std::uint32_t, std::unique_ptr<Process>> m_processes;
+  daemon::OperatorKey m_key = [] {
+    std::filesystem::create_directories(kFolder);
+    std::ofstream(kFolder + "/operator.key") << std::string(64, '7') << "\n";
+    return ValueOf(daemon::OperatorKey::Load(kFolder + "/operator.key"));
+  }();
+};
+
+// Guards against an accepted ticket that is lost, and a number with two winners, while hosts are killed in turn.
+TEST_F(ControlProcessTest, KillingHostsLosesNoTicket) {
+  constexpr std::uint64_t kTickets = 120;
+  std::mutex mutex;
+  std::map<std::uint64_t, std::set<std::string>> winners;
+  std::atomic<std::uint64_t> finished = 0;
+  const auto load = [&](int author) {
+    const io::Reactor reactor;
+    for (std::uint64_t number = 1; number <= kTickets; ++number) {
+      const json answer = PostUntilFinal(MakeTicket(number, author));
+      const std::lock_guard<std::mutex> lock(mutex);
+      if (answer.value("code", -1) == 0) winners[number].insert(answer.value("digest", ""));
+      ++finished;
+    }
+  };
+  std::thread left(load, 1);
+  std::thread right(load, 2);
+  std::uint32_t victim = 0;
+  while (finished < 2 * kTickets) {
+    victim = victim % kHosts + 1;
+    Kill(victim);
+    std::this_thread::sleep_for(milliseconds(150));
+    Start(victim);
+    const std::uint64_t before = finished;
+    // The next host is killed only after progress, so that a majority is there between two kills.
+    while (finished < 2 * kTickets && finished < before + 12) std::this_thread::sleep_for(milliseconds(10));
+  }
+  left.join();
+  right.join();
+  const io::Reactor reactor;
+  WaitUntilEqual();
+  EXPECT_EQ(winners.size(), kTickets);
+  for (const auto& [number, digests] : winners) {
+    EXPECT_EQ(digests.size(), 1U) << "two winners for " << number;
+    for (std::uint32_t host = 1; host <= kHosts; ++host) {
+      EXPECT_EQ(GetJson(host, "/v1/tickets/" + std::to_string(number)).value("digest", ""), *digests.begin());
+    }
+  }
+}
+
+// Guards against a planned stop that cuts off requests or leaves the group without a leader, and against a lost disk
+// that is not replaced.
+TEST_F(ControlProcessTest, PlannedStopAndLostDisk) {
+  const io::Reactor reactor;
+  EXPECT_EQ(PostUntilFinal(MakeTicket(1, 1)).value("code", -1), 0);
+  const std::uint32_t leader = WaitForLeader();
+  m_processes[leader]->Signal(SIGTERM);
+  EXPECT_EQ(m_processes[leader]->Wait(), 0);
+  EXPECT_EQ(PostUntilFinal(MakeTicket(2, 1)).value("code", -1), 0);
+  std::filesystem::remove_all(DataFolder(leader));
+  Start(leader);
+  WaitUntilEqual();
+  EXPECT_EQ(GetJson(leader, "/v1/tickets/1").value("accepted", false), true);
+  const json hosts = GetJson(WaitForLeader(), "/v1/hosts");
+  EXPECT_EQ(hosts["control_hosts"].size(), kHosts);
+}
+
+// Guards against tickets that are accepted without the key, and against errors without their number.
+TEST_F(ControlProcessTest, RefusesWithNumbers) {
+  const io::Reactor reactor;
+  const std::uint32_t leader = WaitForLeader();
+  const std::string ticket = MakeTicket(1, 1);
+  const HttpRequest unsigned_request{"POST", "/v1/tickets", {{"Fighatch-Signature", std::string(64, '0')}}, ticket};
+  const auto refused = io::HttpExchange(m_http[leader], unsigned_request, steady_clock::now() + milliseconds(3000));
+  ASSERT_TRUE(IsOk(refused));
+  EXPECT_EQ(ValueOf(refused).m_status, 401);
+  EXPECT_EQ(FindHeader(ValueOf(refused).m_headers, "Fighatch-Code"), "3007");
+  EXPECT_EQ(Post(leader, "{}").value("code", 0), 3001);
+  EXPECT_EQ(PostUntilFinal(ticket).value("code", -1), 0);
+  EXPECT_EQ(PostUntilFinal(ticket).value("code", -1), 0);
+  EXPECT_EQ(PostUntilFinal(MakeTicket(1, 2)).value("code", -1), 3002);
+}
+
+// Guards against a version in force that is not known after a balancer has reported it, and wrong exit codes.
+TEST_F(ControlProcessTest, ToolWaitsUntilInForceAndReportsWhereNot) {
+  const io::Reactor reactor;
+  std::ofstream(kFolder + "/ticket.json") << MakeTicket(1, 1);
+  std::string control;
+  for (const auto& [host, endpoint] : m_http) control += (control.empty() ? "" : ",") + ToString(endpoint);
+  const auto run = [&](std::vector<std::string> arguments) {
+    arguments.insert(arguments.end(), {"--key", kFolder + "/operator.key", "--control"});
+    arguments.push_back(control);
+    return Process("fighatchctl", arguments).Wait();
+  };
+  EXPECT_EQ(run({"where", "1"}), 5);
+  EXPECT_EQ(run({"diff", kFolder + "/ticket.json"}), 6);
+  EXPECT_EQ(run({"apply", kFolder + "/ticket.json"}), 0);
+  EXPECT_EQ(run({"diff", kFolder + "/ticket.json"}), 0);
+  WaitUntilEqual();
+  const Result<HttpResponse> delta = Get(1, "/v1/delta?epoch=0&generation=0&host=9");
+  ASSERT_TRUE(IsOk(delta));
+  EXPECT_EQ(run({"where", "1"}), 4);
+  StateDocument state;
+  const std::string& body = ValueOf(delta).m_body;
+  ASSERT_TRUE(IsOk(ApplyDelta(ValueOf(DecodeDelta(std::as_bytes(std::span(body)))), &state)));
+  const std::string in_force = "epoch=" + std::to_string(state.m_version.m_epoch) +
+                               "&generation=" + std::to_string(state.m_version.m_generation);
+  const Result<HttpResponse> up_to_date = Get(1, "/v1/delta?" + in_force + "&host=9");
+  ASSERT_TRUE(IsOk(up_to_date));
+  EXPECT_TRUE(ValueOf(up_to_date).m_body.empty());
+  EXPECT_EQ(run({"where", "1"}), 0);
+  std::ofstream(kFolder + "/ticket.json") << MakeTicket(1, 2);
+  EXPECT_EQ(run({"apply", kFolder + "/ticket.json"}), 2);
+  EXPECT_EQ(run({"no-such-command"}), 1);
+}
+
+}  // namespace
+}  // namespace fighatch
