--- a/src/distribution/state_distributor.cc
+++ b/src/distribution/state_distributor.cc
@@ -31,7 +31,7 @@
 /// Hosts are named once a version is this old; before that most of them are about to report.
 constexpr Duration kNameAfter = std::chrono::seconds(1);
 /// A child counts as behind if it has not reported for this long.
-constexpr Duration kReportSilence = std::chrono::seconds(5);
+constexpr Duration kReportSilence = std::chrono::seconds(9);
 /// Chunks for one request.
 constexpr std::uint32_t kWindowChunks = 16;
 
@@ -142,6 +142,13 @@
     std::optional<TimePoint> m_reported_at;
   };
 
+  /// The snapshot that was sent last: a transfer that has begun goes on with it although the state has moved on, or no
+  /// large transfer would end while changes go on.
+  struct Served {
+    ChunkMessage m_head;
+    std::vector<std::byte> m_content;
+  };
+
   void Start(TimePoint now) {
     m_now = now;
     if (m_is_started) return;
@@ -219,6 +226,8 @@
 
   void OnRequest(const StatePeer& sender, const RequestMessage& request) {
     SendDigest(sender);
+    if (m_served && request.m_first_chunk > 0 && request.m_transfer == m_served->m_head.m_to)
+      return ServeSnapshot(sender, request);
     if (request.m_have > m_history->CurrentVersion()) return;
     if (request.m_have == m_history->CurrentVersion() && !request.m_wants_snapshot) return;
     const StateDelta* delta = request.m_wants_snapshot ? nullptr : m_history->DeltaFrom(request.m_have);
@@ -240,11 +249,17 @@
   }
 
   void SendSnapshot(const StatePeer& peer, const RequestMessage& request) {
-    ChunkMessage head;
-    head.m_to = m_history->CurrentVersion();
-    head.m_state_digest = m_history->CurrentDigest();
-    const std::uint32_t first = request.m_transfer == head.m_to ? request.m_first_chunk : 0;
-    SendChunks(peer, MessageType::kStateSnapshot, head, m_history->Snapshot(), first, kWindowChunks);
+    if (!m_served || m_served->m_head.m_to != m_history->CurrentVersion()) {
+      m_served = Served{{}, m_history->Snapshot()};
+      m_served->m_head.m_to = m_history->CurrentVersion();
+      m_served->m_head.m_state_digest = m_history->CurrentDigest();
+    }
+    ServeSnapshot(peer, request);
+  }
+
+  void ServeSnapshot(const StatePeer& peer, const RequestMessage& request) {
+    const std::uint32_t first = request.m_transfer == m_served->m_head.m_to ? request.m_first_chunk : 0;
+    SendChunks(peer, MessageType::kStateSnapshot, m_served->m_head, m_served->m_content, first, kWindowChunks);
   }
 
   std::uint32_t SendChunks(const StatePeer& peer, MessageType type, ChunkMessage head,
@@ -274,6 +289,7 @@
   std::map<HostId, Child> m_children;
   std::optional<StatePeer> m_parent;
   std::optional<Version> m_pushed_version;
+  std::optional<Served> m_served;
   int m_repeats_left = 0;
   TimePoint m_next_repeat;
   TimePoint m_next_heartbeat;
--- a/src/distribution/state_receiver.cc
+++ b/src/distribution/state_receiver.cc
@@ -21,6 +21,8 @@
 constexpr Duration kAskPeersEvery = milliseconds(400);
 constexpr Duration kFirstRetry = milliseconds(100);
 constexpr Duration kLastRetry = milliseconds(800);
+/// Wait for the rest of a window that has begun to arrive.
+constexpr Duration kGapRetry = milliseconds(40);
 /// Tries of one transfer with one source, after which another peer is asked.
 constexpr int kTriesPerSource = 3;
 constexpr int kTriesPerTransfer = 12;
@@ -147,7 +149,6 @@
     ++m_tries;
     if (m_tries % kTriesPerSource == 0 && !m_peers.empty()) {
       m_source = m_peers[m_random.Below(m_peers.size())];
-      m_assembly.reset();
     }
     // The digest that named the target may come from a host that has ended: give up until the next one.
     if (m_tries >= kTriesPerTransfer) return EndTransfer();
@@ -173,7 +174,9 @@
       m_assembly = Assembly{is_snapshot, chunk, {}, 0, kWindowChunks};
     }
     m_assembly->m_chunks[chunk.m_index] = std::move(chunk.m_bytes);
+    const std::uint32_t first_missing = m_assembly->m_first_missing;
     while (m_assembly->m_chunks.contains(m_assembly->m_first_missing)) ++m_assembly->m_first_missing;
+    if (m_assembly->m_first_missing > first_missing) NoteProgress();
     if (m_assembly->m_first_missing == m_assembly->m_head.m_count) return Complete(sender);
     ContinueWindow(sender);
   }
@@ -184,6 +187,11 @@
            head.m_content_hash == chunk.m_content_hash && head.m_count == chunk.m_count;
   }
 
+  void NoteProgress() {
+    m_tries = 0;
+    m_retry_at = m_now + kGapRetry;
+  }
+
   void ContinueWindow(const StatePeer& sender) {
     if (m_assembly->m_first_missing < m_assembly->m_window_end) return;
     m_assembly->m_window_end = m_assembly->m_first_missing + kWindowChunks;
