Mend lint findings, test the size of messages

Cause: scripts/lint named a copied parameter and a const local that is moved.

Change: both mended; a test checks that the largest ticket fits one message.

--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -179,7 +179,7 @@
   // Membership on the leader (raft_membership.cc).
   void AdvanceMembership();
   [[nodiscard]] bool MayChangeMembership() const;
-  void ProposeConfiguration(RaftConfiguration configuration);
+  void ProposeConfiguration(const RaftConfiguration& configuration);
   void AddLearner(const RaftPeer& peer);
   void SyncProgress();
   void RequestJoin();
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -57,7 +57,7 @@
 
 fighatch::Status ReadOptions(const cxxopts::ParseResult& parsed, CommandLine* line) {
   if (parsed.count("config") > 0) {
-    const fighatch::Status status = ReadSettings(parsed["config"].as<std::string>(), line);
+    fighatch::Status status = ReadSettings(parsed["config"].as<std::string>(), line);
     if (!IsOk(status)) return status;
   }
   if (parsed.count("control") > 0) {
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -24,7 +24,7 @@
          !m_transfer_until;
 }
 
-void RaftNode::ProposeConfiguration(RaftConfiguration configuration) {
+void RaftNode::ProposeConfiguration(const RaftConfiguration& configuration) {
   const std::vector<std::byte> bytes = wire::Encode(configuration);
   AppendAsLeader(EntryKind::kConfiguration, std::string(reinterpret_cast<const char*>(bytes.data()), bytes.size()));
 }
@@ -40,7 +40,7 @@
   std::erase_if(next.m_members,
                 [&peer](const RaftMember& member) { return !member.m_voter && member.m_peer.m_host == peer.m_host; });
   next.m_members.push_back({peer, false});
-  ProposeConfiguration(std::move(next));
+  ProposeConfiguration(next);
 }
 
 void RaftNode::AdvanceMembership() {
@@ -62,7 +62,7 @@
     next.m_retired.push_back(lost->m_peer);
     next.m_members.erase(lost);
   }
-  ProposeConfiguration(std::move(next));
+  ProposeConfiguration(next);
 }
 
 void RaftNode::SyncProgress() {
--- a/tests/consensus_node_test.cc
+++ b/tests/consensus_node_test.cc
@@ -90,6 +90,18 @@
   EXPECT_EQ(m_node.Log().LastIndex(), 1U);
 }
 
+// Guards against a message that does not fit the 64 KiB that the transport carries, also for the largest ticket.
+TEST_F(ConsensusNodeTest, LargestTicketFitsOneMessage) {
+  BecomeLeader();
+  (void)Receive(kSecond, 2, AppendReply{true, 2, 0});
+  for (int count = 0; count < 2; ++count) {
+    ASSERT_TRUE(IsOk(m_node.Propose(m_now, std::string(kMaxEncodedTicketBytes, 'x'))));
+  }
+  const RaftOutput output = m_node.TakeOutput();
+  ASSERT_FALSE(output.m_messages.empty());
+  for (const RaftMessage& message : output.m_messages) EXPECT_LT(EncodeRaftMessage(message).size(), 63U * 1024);
+}
+
 // Guards against a restarted host that votes at once although it may have confirmed a lease just before it stopped.
 TEST(ConsensusLeaseTest, RestartedHostWaitsBeforeItVotes) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
