Test that the examples are accepted

Cause: examples that no test reads go stale.

Change: the example tickets are parsed and applied, the settings parsed.

--- a/tests/ticket_processor_test.cc
+++ b/tests/ticket_processor_test.cc
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "config/control_settings.h"
+#include "config/json_reader.h"
+
 namespace fighatch {
 namespace {
 
@@ -144,5 +147,19 @@
   EXPECT_FALSE(IsOk(ApplyDelta(*m_processor.DeltaSince({}), &other)));
 }
 
+// Guards against examples that the programs refuse.
+TEST(ExamplesTest, AreAccepted) {
+  const std::string folder = std::string(FIGHATCH_SOURCE_DIR) + "/examples";
+  for (const char* name : {"agency", "head_office"}) {
+    const auto text = config::ReadTextFile(folder + "/tickets/" + name + ".json");
+    const Result<Ticket> ticket = ParseTicket(ValueOf(text));
+    ASSERT_TRUE(IsOk(ticket)) << name << ": " << ToString(ErrorOf(ticket));
+    TicketProcessor processor;
+    EXPECT_EQ(processor.Apply(ValueOf(ticket), {1, 1}).m_code, ErrorCode::kOk) << name;
+  }
+  const auto settings = config::ParseControlSettings(ValueOf(config::ReadTextFile(folder + "/control.json")));
+  EXPECT_TRUE(IsOk(settings)) << ToString(ErrorOf(settings));
+}
+
 }  // namespace
 }  // namespace fighatch
