Count a data centre as returned only after it was cut off

Cause: a starting balancer marked each data centre that it first heard of as returned from a cut. No balancer became a ready keeper either: each waited for another. Ruled out: different table versions (all 8 balancers showed the same), stale tables, wrong shard of a record. Change: reachability is kept for each data centre and only a data centre that was heard and then cut off returns; where no balancer has records, the coordinator of the data centre is the first ready keeper.

--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -11,7 +11,7 @@
 
 def main():
     user = sys.argv[1] if len(sys.argv) > 1 else "agency"
-    run = deployment.Deployment(user, control_hosts=1)
+    run = deployment.Deployment(user)
     problems = []
 
     def expect(name, value, bound):
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -59,6 +59,7 @@
     TickFacts(now);
     TickHealthChecks(now);
     TickAcks(now);
+    TickReachability(now);
   }
   TickLeases(now);
   if (m_tables_changed) RebuildTables(now);
@@ -68,16 +69,23 @@
 
 void ControlLoop::TickMembership(TimePoint now) {
   if (now >= m_membership.NextDeadline()) Run(m_membership.Tick(now), now);
-  if (m_leaving || m_keeper_ready) return;
-  // A balancer answers for flows only once it has the records; the first one of a data centre has none to wait for.
-  const bool first = now - m_started > kFirstKeeperAfter && m_table != nullptr;
-  if (!first || !m_parts.m_data_plane->HasAllRecords()) return;
+  if (m_leaving || m_keeper_ready || !MayBeKeeper(now)) return;
   m_keeper_ready = true;
   LOG(INFO) << "event=keeper_ready host=" << m_options.m_self.m_host.m_value;
   Run(m_membership.SetKeeperReady(now, true), now);
   MembersChanged(now);
 }
 
+bool ControlLoop::MayBeKeeper(TimePoint now) {
+  if (m_table == nullptr || now - m_started < kFirstKeeperAfter) return false;
+  const std::vector<Member> members = m_membership.LiveMembers();
+  const bool has_keeper =
+      std::any_of(members.begin(), members.end(), [](const Member& member) { return member.m_keeper_ready; });
+  if (has_keeper) return m_parts.m_data_plane->HasAllRecords();
+  // Where no balancer has records to hand over, the coordinator is the first keeper.
+  return m_coordinator.Elected() == m_options.m_self.m_host;
+}
+
 void ControlLoop::Run(const MembershipActions& actions, TimePoint now) {
   for (const OutgoingMessage& message : actions.m_messages) m_parts.m_links->SendTo(message);
   for (const MembershipEvent& event : actions.m_events) OnMembershipEvent(event);
@@ -242,19 +250,32 @@
   return !m_options.m_seeds.empty() && DataPlane::Now() - m_peer_heard > kIsolatedAfter;
 }
 
-std::vector<DataCentreId> ControlLoop::CutOffDataCentres(TimePoint now) {
-  std::vector<DataCentreId> cut_off;
+void ControlLoop::TickReachability(TimePoint now) {
   for (const auto& [name, data_centre] : m_state.m_data_centres) {
-    const DataCentreId id = data_centre.m_id;
-    if (id == m_options.m_self.m_data_centre) continue;
-    if (!m_membership.LiveMembersOf(id).empty()) {
-      if (m_cut_off_since.erase(id) > 0) m_returned_at[id] = now;
-      continue;
-    }
-    const TimePoint since = m_cut_off_since.try_emplace(id, now).first->second;
-    if (now - since > kCutOffAfter) cut_off.push_back(id);
+    if (data_centre.m_id != m_options.m_self.m_data_centre) UpdateReachability(data_centre.m_id, now);
+  }
+}
+
+void ControlLoop::UpdateReachability(DataCentreId id, TimePoint now) {
+  Reachability& reachability = m_reachability[id];
+  if (m_membership.LiveMembersOf(id).empty()) {
+    if (reachability.m_silent_since == TimePoint()) reachability.m_silent_since = now;
+    if (reachability.m_cut_off || now - reachability.m_silent_since <= kCutOffAfter) return;
+    reachability.m_cut_off = true;
+    m_tables_changed = true;
+    LOG(WARNING) << "event=data_centre_cut_off data_centre=" << id.m_value;
+    return;
+  }
+  // Flows are placed elsewhere only while a data centre counts as cut off. One that was never heard before has just
+  // been found by a starting balancer and did not return.
+  if (reachability.m_cut_off) {
+    m_tables_changed = true;
+    LOG(INFO) << "event=data_centre_reached data_centre=" << id.m_value;
   }
-  return cut_off;
+  if (reachability.m_cut_off && reachability.m_was_heard) reachability.m_returned_at = now;
+  reachability.m_cut_off = false;
+  reachability.m_was_heard = true;
+  reachability.m_silent_since = TimePoint();
 }
 
 }  // namespace fighatch::daemon
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -81,9 +81,17 @@
     MessageType m_type;
     Handler m_handler;
   };
+  /// Whether a data centre can be reached; unset time points are at the clock's epoch.
+  struct Reachability {
+    bool m_was_heard = false;
+    bool m_cut_off = false;
+    TimePoint m_silent_since;
+    TimePoint m_returned_at;
+  };
   using TableKey = std::pair<ServiceId, DataCentreId>;
 
   void TickMembership(TimePoint now);
+  [[nodiscard]] bool MayBeKeeper(TimePoint now);
   void TickCoordination(TimePoint now);
   void TickLeases(TimePoint now);
   void TickFacts(TimePoint now);
@@ -96,7 +104,8 @@
   void Run(const MembershipActions& actions, TimePoint now);
   void OnMembershipEvent(const MembershipEvent& event);
   void MembersChanged(TimePoint now);
-  [[nodiscard]] std::vector<DataCentreId> CutOffDataCentres(TimePoint now);
+  void TickReachability(TimePoint now);
+  void UpdateReachability(DataCentreId id, TimePoint now);
 
   void OnTableUpdateMessage(const Envelope& message);
   void OnTableAckMessage(const Envelope& message);
@@ -134,8 +143,7 @@
   std::shared_ptr<const ForwardingTable> m_table;
   std::map<ServiceId, std::vector<TargetInfo>> m_request_targets;
   bool m_tables_changed = true;
-  std::map<DataCentreId, TimePoint> m_cut_off_since;
-  std::map<DataCentreId, TimePoint> m_returned_at;
+  std::map<DataCentreId, Reachability> m_reachability;
 
   TimePoint m_table_confirmed;
   TimePoint m_peer_heard;
--- a/src/daemon/control_loop_tables.cc
+++ b/src/daemon/control_loop_tables.cc
@@ -69,10 +69,12 @@
   const std::vector<OwnerTable> tables = Tables();
   const std::vector<TargetInfo> targets = AllTargets();
   const std::vector<Member> members = m_membership.AllMembers();
-  const std::vector<DataCentreId> cut_off = CutOffDataCentres(now);
+  std::vector<DataCentreId> cut_off;
   std::vector<DataCentreId> returned;
-  for (const auto& [id, at] : m_returned_at) {
-    if (now - at < kReturnedFor) returned.push_back(id);
+  for (const auto& [id, reachability] : m_reachability) {
+    const bool has_returned = reachability.m_returned_at != TimePoint();
+    if (reachability.m_cut_off) cut_off.push_back(id);
+    if (has_returned && now - reachability.m_returned_at < kReturnedFor) returned.push_back(id);
   }
   ForwardingTableInput input;
   input.m_state = &m_state;
