--- a/bench/consensus.cc
+++ b/bench/consensus.cc
@@ -18,7 +18,7 @@
 
 #include "daemon/control_replica.h"
 #include "daemon/control_storage.h"
-#include "daemon/tcp_message_transport.h"
+#include "daemon/sealed_message_transport.h"
 #include "fighatch/state_delta.h"
 #include "io/reactor.h"
 
@@ -105,7 +105,10 @@
   void Run() {
     const io::Reactor reactor;
     auto storage = daemon::OpenControlStorage(m_settings);
-    auto transport = daemon::TcpMessageTransport::Create(m_settings.Self().m_message_endpoint, m_peers);
+    KeyRing keys;
+    CHECK(IsOk(keys.Add(KeyKind::kCluster, 1, KeyBytes{}, true)));
+    SecureChannel channel({m_settings.m_host, Incarnation{1}, m_settings.m_host.m_value}, std::move(keys));
+    auto transport = daemon::SealedMessageTransport::Create(m_settings.Self().m_message_endpoint, m_peers, &channel);
     CHECK(IsOk(storage) && IsOk(transport));
     daemon::ControlReplica replica(m_settings, ValueOf(storage).m_storage.get(),
                                    ValueOf(storage).m_storage->TakeStored(), ValueOf(transport).get());
--- a/include/fighatch/state_history.h
+++ b/include/fighatch/state_history.h
@@ -33,7 +33,7 @@
 };
 
 /// A step from one version to the next.
-struct StateDelta {
+struct EncodedDelta {
   Version m_from;
   Version m_to;
   std::vector<std::byte> m_content;
@@ -57,17 +57,17 @@
 
   /// Applies a step to the machine. Errors: those of the machine; `kMessageMalformed` for a step that does not start at
   /// the present version or does not rise. The state is unchanged then.
-  [[nodiscard]] Status Apply(StateDelta delta);
+  [[nodiscard]] Status Apply(EncodedDelta delta);
 
   /// Records a step that the machine has made already, as on control hosts.
-  [[nodiscard]] Status Record(StateDelta delta);
+  [[nodiscard]] Status Record(EncodedDelta delta);
 
   /// Replaces the state by a version that is not lower. Errors: those of the machine; `kMessageMalformed` for a lower
   /// version.
   [[nodiscard]] Status Load(Version version, std::span<const std::byte> snapshot);
 
   /// The step that starts at `from`, if it is kept.
-  [[nodiscard]] const StateDelta* DeltaFrom(Version from) const noexcept;
+  [[nodiscard]] const EncodedDelta* DeltaFrom(Version from) const noexcept;
 
   /// The whole state at the present version.
   [[nodiscard]] const std::vector<std::byte>& Snapshot() const;
@@ -78,12 +78,12 @@
   void Confirm(TimePoint at) noexcept;
 
  private:
-  void Append(StateDelta delta);
+  void Append(EncodedDelta delta);
 
   StateMachine* m_machine;
   Version m_version;
   std::uint64_t m_digest;
-  std::deque<StateDelta> m_deltas;
+  std::deque<EncodedDelta> m_deltas;
   std::size_t m_delta_bytes = 0;
   mutable std::optional<std::vector<std::byte>> m_snapshot;
   std::optional<TimePoint> m_confirmed_at;
--- a/programs/balancer/balancer_settings.cc
+++ b/programs/balancer/balancer_settings.cc
@@ -1,6 +1,7 @@
 #include "balancer_settings.h"
 
 #include "config/json_reader.h"
+#include "config/key_settings.h"
 
 namespace fighatch::balancer {
 namespace {
@@ -10,20 +11,6 @@
 constexpr std::uint32_t kMaxThreads = 64;
 constexpr std::uint32_t kMaxShards = 256;
 constexpr std::uint32_t kMaxRecords = 1 << 26;
-constexpr std::uint32_t kMaxKeyId = 0xFFFF;
-
-void ReadKeys(config::ObjectReader& reader, std::string_view field, KeyKind kind, std::vector<KeyFile>* out) {
-  bool is_first = true;
-  reader.OptionalObjects(field, [&](config::ObjectReader& item) {
-    KeyFile& key = out->emplace_back();
-    key.m_kind = kind;
-    key.m_active = is_first;
-    is_first = false;
-    item.Unsigned("id", 0, kMaxKeyId, &key.m_id);
-    item.Text("file", &key.m_path);
-  });
-  if (is_first) reader.Fail(ErrorCode::kSettingsMissingField, field, "at least one key is required");
-}
 
 }  // namespace
 
@@ -40,8 +27,8 @@
   reader.EndpointField("fabric_endpoint", &settings.m_fabric_endpoint);
   reader.OptionalEndpointList("control_hosts", &settings.m_control_hosts);
   reader.OptionalEndpointList("seeds", &settings.m_seeds);
-  ReadKeys(reader, "cluster_keys", KeyKind::kCluster, &settings.m_keys);
-  ReadKeys(reader, "target_keys", KeyKind::kTarget, &settings.m_keys);
+  config::ReadKeyFiles(reader, "cluster_keys", KeyKind::kCluster, &settings.m_keys);
+  config::ReadKeyFiles(reader, "target_keys", KeyKind::kTarget, &settings.m_keys);
   reader.OptionalText("data_folder", &settings.m_data_folder);
   reader.OptionalUnsigned("receive_threads", 1, kMaxThreads, &settings.m_receive_threads);
   reader.OptionalUnsigned("flow_shards", 1, kMaxShards, &settings.m_flow_shards);
--- a/programs/balancer/main.cc
+++ b/programs/balancer/main.cc
@@ -1,5 +1,4 @@
 #include <glog/logging.h>
-#include <sodium.h>
 
 #include "balancer.h"
 #include "daemon/program.h"
@@ -10,8 +9,8 @@
 
 using fighatch::daemon::ExitCode;
 
-ExitCode Run(const fighatch::balancer::BalancerSettings& settings) {
-  if (sodium_init() < 0) return ExitCode::kFailed;
+ExitCode Run(const fighatch::balancer::BalancerSettings& settings,
+             const fighatch::daemon::ProgramOptions& /*options*/) {
   fighatch::daemon::StopSignal stop;
   fighatch::io::Reactor reactor;
   auto balancer = fighatch::balancer::Balancer::Create(settings);
@@ -27,6 +26,6 @@
 
 int main(int argc, char** argv) {
   return fighatch::daemon::RunProgram<fighatch::balancer::BalancerSettings>(
-      argc, argv, {"fighatch-balancer", "Layer-4 load balancer: one of many that act as one."},
+      argc, argv, {"fighatch-balancer", "Layer-4 load balancer: one of many that act as one.", {}},
       fighatch::balancer::ParseBalancerSettings, Run);
 }
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -1,26 +1,25 @@
 #include <glog/logging.h>
-#include <signal.h>
 #include <sodium.h>
 
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/operations.hpp>
-#include <csignal>
-#include <cxxopts.hpp>
-#include <iostream>
+#include <chrono>
 #include <map>
 #include <nlohmann/json.hpp>
 
 #include "config/control_settings.h"
-#include "config/json_reader.h"
 #include "daemon/control_http.h"
 #include "daemon/control_metrics.h"
 #include "daemon/control_replica.h"
 #include "daemon/control_storage.h"
 #include "daemon/operator_key.h"
-#include "daemon/tcp_message_transport.h"
+#include "daemon/program.h"
+#include "daemon/sealed_message_transport.h"
+#include "daemon/stop_signal.h"
+#include "fighatch/incarnation.h"
 #include "io/http_client.h"
 #include "io/http_server.h"
 #include "io/reactor.h"
+#include "io/synced_file_store.h"
 
 namespace {
 
@@ -29,17 +28,14 @@
 using fighatch::Result;
 using fighatch::ValueOf;
 using fighatch::config::ControlSettings;
+using fighatch::daemon::ExitCode;
 
-constexpr const char* kVersion = "0.1.0";
-constexpr std::chrono::milliseconds kSignalCheckInterval{50};
 constexpr std::chrono::milliseconds kHandOverTimeout{1000};
 constexpr std::chrono::milliseconds kFoundCheckTimeout{1000};
 
-volatile std::sig_atomic_t g_stop_requested = 0;
-
-int Fail(const fighatch::Error& error) {
+ExitCode Fail(const fighatch::Error& error) {
   LOG(ERROR) << "event=start_failed " << ToString(error);
-  return 1;
+  return ExitCode::kFailed;
 }
 
 // The addresses of the other control hosts.
@@ -65,18 +61,19 @@
   return false;
 }
 
-int Found(const ControlSettings& settings) {
+ExitCode Found(const ControlSettings& settings) {
   if (LogExists(settings)) {
     return Fail(fighatch::MakeError(fighatch::ErrorCode::kStorageWrongIdentity,
                                     "the other control hosts have a log; start without --found to join them"));
   }
   const fighatch::Status status = fighatch::daemon::FoundControlStorage(settings);
-  return IsOk(status) ? 0 : Fail(ErrorOf(status));
+  return IsOk(status) ? ExitCode::kOk : Fail(ErrorOf(status));
 }
 
 // Serves until a signal asks for a stop: then leadership is handed over and requests in progress are finished.
-int Serve(const ControlSettings& settings, const fighatch::daemon::OperatorKey& key,
-          fighatch::daemon::ControlStorage* storage, fighatch::daemon::MessageTransport* transport) {
+ExitCode Serve(const ControlSettings& settings, const fighatch::daemon::OperatorKey& key,
+               fighatch::daemon::ControlStorage* storage, fighatch::daemon::MessageTransport* transport,
+               fighatch::daemon::StopSignal* stop) {
   fighatch::daemon::ControlReplica replica(settings, storage->m_storage.get(), storage->m_storage->TakeStored(),
                                            transport);
   fighatch::daemon::ControlMetrics metrics;
@@ -87,7 +84,8 @@
   replica.Start();
   LOG(INFO) << "event=started host=" << settings.m_host.m_value << " http=" << ToString(ValueOf(server)->Local());
   boost::fibers::fiber stopper([&] {
-    while (g_stop_requested == 0) boost::this_fiber::sleep_for(kSignalCheckInterval);
+    while (!stop->Wait(fighatch::io::kNoDeadline)) {
+    }
     LOG(INFO) << "event=stopping host=" << settings.m_host.m_value;
     replica.HandOver(std::chrono::steady_clock::now() + kHandOverTimeout);
     http.Stop();
@@ -97,49 +95,45 @@
   stopper.join();
   replica.Stop();
   LOG(INFO) << "event=stopped host=" << settings.m_host.m_value;
-  return 0;
+  return ExitCode::kOk;
+}
+
+Result<fighatch::SecureChannel> OpenChannel(const ControlSettings& settings) {
+  auto keys = fighatch::KeyRing::Load(settings.m_cluster_keys);
+  if (!IsOk(keys)) return ErrorOf(keys);
+  fighatch::io::SyncedFileStore files(settings.m_data_folder);
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto incarnation = fighatch::TakeIncarnation(
+      &files, static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
+  if (!IsOk(incarnation)) return ErrorOf(incarnation);
+  std::uint64_t token = 0;
+  randombytes_buf(&token, sizeof(token));
+  return fighatch::SecureChannel({settings.m_host, ValueOf(incarnation), token}, std::move(ValueOf(keys)));
 }
 
-int Run(const ControlSettings& settings) {
+ExitCode Run(const ControlSettings& settings, const fighatch::daemon::ProgramOptions& options) {
+  if (options.m_flags.contains("found")) return Found(settings);
+  fighatch::daemon::StopSignal stop;
   const auto key = fighatch::daemon::OperatorKey::Load(settings.m_operator_key_file);
   if (!IsOk(key)) return Fail(ErrorOf(key));
   auto storage = fighatch::daemon::OpenControlStorage(settings);
   if (!IsOk(storage)) return Fail(ErrorOf(storage));
   const fighatch::io::Reactor reactor;
-  auto transport = fighatch::daemon::TcpMessageTransport::Create(settings.Self().m_message_endpoint, PeersOf(settings));
+  auto channel = OpenChannel(settings);
+  if (!IsOk(channel)) return Fail(ErrorOf(channel));
+  auto transport = fighatch::daemon::SealedMessageTransport::Create(settings.Self().m_message_endpoint,
+                                                                    PeersOf(settings), &ValueOf(channel));
   if (!IsOk(transport)) return Fail(ErrorOf(transport));
-  return Serve(settings, ValueOf(key), &ValueOf(storage), ValueOf(transport).get());
+  return Serve(settings, ValueOf(key), &ValueOf(storage), ValueOf(transport).get(), &stop);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  signal(SIGPIPE, SIG_IGN);
-  const auto request_stop = [](int) { g_stop_requested = 1; };
-  signal(SIGTERM, request_stop);
-  signal(SIGINT, request_stop);
-  if (sodium_init() < 0) return Fail(fighatch::MakeError(fighatch::ErrorCode::kKeyUnreadable, "libsodium"));
-  cxxopts::Options options("fighatch-control", "Control host of fighatch: accepts tickets and keeps the state.");
-  options.add_options()("config", "settings file (JSON with comments)", cxxopts::value<std::string>())(
-      "check-config", "check the settings and exit")(
-      "found", "create the data folder of a founding control host and exit; once, before the first start")(
-      "version", "print the version")("help", "print this text");
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0) return std::cout << options.help(), 0;
-    if (parsed.count("version") > 0) return std::cout << "fighatch-control " << kVersion << "\n", 0;
-    if (parsed.count("config") == 0) return std::cerr << "--config FILE is required; see --help\n", 1;
-    const Result<std::string> text = fighatch::config::ReadTextFile(parsed["config"].as<std::string>());
-    if (!IsOk(text)) return Fail(ErrorOf(text));
-    const auto settings = fighatch::config::ParseControlSettings(ValueOf(text));
-    if (!IsOk(settings)) return Fail(ErrorOf(settings));
-    if (parsed.count("check-config") > 0) return std::cout << "settings are valid\n", 0;
-    if (parsed.count("found") > 0) return Found(ValueOf(settings));
-    return Run(ValueOf(settings));
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "; see --help\n";
-    return 1;
-  }
+  return fighatch::daemon::RunProgram<ControlSettings>(
+      argc, argv,
+      {"fighatch-control",
+       "Control host of fighatch: accepts tickets and keeps the state.",
+       {{"found", "Create the data folder of a founding control host and exit; once, before the first start"}}},
+      fighatch::config::ParseControlSettings, Run);
 }
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -17,8 +17,6 @@
 using fighatch::ctl::CommandLine;
 using fighatch::ctl::ExitCode;
 
-constexpr const char* kVersion = "0.1.0";
-
 int Fail(const std::string& text) {
   std::cerr << text << "\n";
   return static_cast<int>(ExitCode::kUsage);
@@ -85,7 +83,7 @@
 int Run(cxxopts::Options& options, int argc, char** argv) {
   const auto parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) return std::cout << options.help() << "\n" << fighatch::ctl::CommandHelp(), 0;
-  if (parsed.count("version") > 0) return std::cout << "fighatchctl " << kVersion << "\n", 0;
+  if (parsed.count("version") > 0) return std::cout << "fighatchctl " << FIGHATCH_VERSION << "\n", 0;
   CommandLine line;
   if (const char* user = std::getenv("USER")) line.m_author = user;
   if (line.m_author.empty()) line.m_author = "fighatchctl";
--- a/programs/fabric/main.cc
+++ b/programs/fabric/main.cc
@@ -17,7 +17,7 @@
 
 constexpr std::chrono::milliseconds kStopCheckInterval{100};
 
-ExitCode Run(const fighatch::fabric::FabricSettings& settings) {
+ExitCode Run(const fighatch::fabric::FabricSettings& settings, const fighatch::daemon::ProgramOptions& /*options*/) {
   fighatch::daemon::StopSignal stop;
   fighatch::io::Reactor reactor;
   fighatch::Result<fighatch::fabric::Fabric> fabric = fighatch::fabric::Fabric::Create(settings);
@@ -51,6 +51,6 @@
 int main(int argc, char** argv) {
   return fighatch::daemon::RunProgram<fighatch::fabric::FabricSettings>(
       argc, argv,
-      {"fighatch-fabric", "Stand-in for the network: sprays callers' packets over the balancers at random."},
+      {"fighatch-fabric", "Stand-in for the network: sprays callers' packets over the balancers at random.", {}},
       fighatch::fabric::ParseFabricSettings, Run);
 }
--- a/programs/load/main.cc
+++ b/programs/load/main.cc
@@ -9,7 +9,7 @@
 
 using fighatch::daemon::ExitCode;
 
-ExitCode Run(const fighatch::load::LoadSettings& settings) {
+ExitCode Run(const fighatch::load::LoadSettings& settings, const fighatch::daemon::ProgramOptions& /*options*/) {
   fighatch::daemon::StopSignal stop;
   fighatch::io::Reactor reactor;
   const fighatch::Status status = fighatch::load::RunLoad(settings, &stop);
@@ -22,6 +22,6 @@
 
 int main(int argc, char** argv) {
   return fighatch::daemon::RunProgram<fighatch::load::LoadSettings>(
-      argc, argv, {"fighatch-load", "Load tool: callers of flow and record services at a fixed rate."},
+      argc, argv, {"fighatch-load", "Load tool: callers of flow and record services at a fixed rate.", {}},
       fighatch::load::ParseLoadSettings, Run);
 }
--- a/programs/target/main.cc
+++ b/programs/target/main.cc
@@ -14,7 +14,7 @@
 using fighatch::ValueOf;
 using fighatch::daemon::ExitCode;
 
-ExitCode Run(const fighatch::target::TargetSettings& settings) {
+ExitCode Run(const fighatch::target::TargetSettings& settings, const fighatch::daemon::ProgramOptions& /*options*/) {
   fighatch::daemon::StopSignal stop;
   fighatch::io::Reactor reactor;
   auto target = fighatch::target::Target::Create(settings);
@@ -32,6 +32,6 @@
 
 int main(int argc, char** argv) {
   return fighatch::daemon::RunProgram<fighatch::target::TargetSettings>(
-      argc, argv, {"fighatch-target", "Stand-in for a target: answers flows and requests and announces itself."},
+      argc, argv, {"fighatch-target", "Stand-in for a target: answers flows and requests and announces itself.", {}},
       fighatch::target::ParseTargetSettings, Run);
 }
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -128,6 +128,7 @@
             "data_centre": DATA_CENTRES[index],
             "data_folder": str(self.folder / f"control{index}"),
             "operator_key_file": self.keys["operator"],
+            "cluster_keys": [{"id": 1, "file": self.keys["cluster"]}],
             "control_hosts": hosts,
         }
         return Process(f"control{index}", "fighatch-control", settings, self.folder)
--- a/src/config/control_settings.cc
+++ b/src/config/control_settings.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "config/json_reader.h"
+#include "config/key_settings.h"
 
 namespace fighatch::config {
 namespace {
@@ -58,6 +59,7 @@
   reader.Text("data_centre", &settings.m_data_centre);
   reader.Text("data_folder", &settings.m_data_folder);
   reader.Text("operator_key_file", &settings.m_operator_key_file);
+  ReadKeyFiles(reader, "cluster_keys", KeyKind::kCluster, &settings.m_cluster_keys);
   reader.OptionalObjects("control_hosts",
                          [&](ObjectReader& item) { ReadPeer(item, &settings.m_control_hosts.emplace_back()); });
   reader.OptionalMilliseconds("heartbeat_ms", milliseconds(10), milliseconds(10000), &settings.m_heartbeat);
--- a/src/config/control_settings.h
+++ b/src/config/control_settings.h
@@ -9,6 +9,7 @@
 
 #include "fighatch/address.h"
 #include "fighatch/ids.h"
+#include "fighatch/key_ring.h"
 #include "fighatch/result.h"
 
 namespace fighatch::config {
@@ -28,6 +29,8 @@
   std::string m_data_centre;
   std::string m_data_folder;
   std::string m_operator_key_file;
+  /// Keys that seal messages between control hosts; the first is the active one, all are accepted.
+  std::vector<KeyFile> m_cluster_keys;
   /// All control hosts, this one included.
   std::vector<ControlPeer> m_control_hosts;
   std::chrono::milliseconds m_heartbeat{60};
--- a/src/daemon/message_transport.h
+++ b/src/daemon/message_transport.h
@@ -9,8 +9,7 @@
 
 namespace fighatch::daemon {
 
-/// Carries messages between control hosts. Messages may be lost, and are then sent again by the log's protocol. A
-/// transport that seals messages wraps another one.
+/// Carries messages between control hosts. Messages may be lost, and are then sent again by the log's protocol.
 class MessageTransport {
  public:
   using Receiver = std::function<void(std::vector<std::byte> message)>;
--- a/src/daemon/peer_links.cc
+++ b/src/daemon/peer_links.cc
@@ -131,7 +131,18 @@
     // Half of the receiver's idle time: a message written to a stream that the peer has closed is lost without notice.
     if (steady_clock::now() - last_used > kStreamIdle / 2) stream.reset();
     last_used = steady_clock::now();
-    if (!SendOn(host, &stream, message) && message.m_on_failure) message.m_on_failure();
+    if (SendOn(host, &stream, message)) continue;
+    if (message.m_on_failure) message.m_on_failure();
+    FailQueued(link);
+  }
+}
+
+void PeerLinks::FailQueued(Link* link) {
+  // What waits for a host that cannot be reached would be out of date by the time that it can, and each message would
+  // wait for a connect of its own.
+  Outgoing message;
+  while (link->m_queue.try_pop(message) == boost::fibers::channel_op_status::success) {
+    if (message.m_on_failure) message.m_on_failure();
   }
 }
 
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -67,6 +67,7 @@
   void AcceptStreams();
   void ReceiveStream(io::TcpStream stream);
   void ServeLink(HostId host, Link* link);
+  void FailQueued(Link* link);
   [[nodiscard]] bool SendOn(HostId host, std::optional<io::MessageStream>* stream, const Outgoing& message);
 
   SecureChannel* m_channel;
--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -1,6 +1,7 @@
 #include "daemon/program.h"
 
 #include <glog/logging.h>
+#include <sodium.h>
 
 #include <cxxopts.hpp>
 
@@ -14,6 +15,7 @@
   cxxopts::Options options(name, std::string(info.m_summary));
   options.add_options()("c,config", "Settings file (JSON with comments)", cxxopts::value<std::string>())(
       "check-config", "Check the settings and exit")("h,help", "Print this help")("version", "Print the version");
+  for (const ProgramFlag& flag : info.m_flags) options.add_options()(flag.m_name, flag.m_help);
   try {
     const cxxopts::ParseResult result = options.parse(argc, argv);
     if (result.count("help") > 0) {
@@ -26,7 +28,10 @@
       std::cerr << name << ": --config FILE is required; see --help\n";
       parsed.m_exit = ExitCode::kUsage;
     } else {
-      parsed.m_options = {result["config"].as<std::string>(), result.count("check-config") > 0};
+      parsed.m_options = {result["config"].as<std::string>(), result.count("check-config") > 0, {}};
+      for (const ProgramFlag& flag : info.m_flags) {
+        if (result.count(flag.m_name) > 0) parsed.m_options.m_flags.insert(flag.m_name);
+      }
     }
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << name << ": " << error.what() << "; see --help\n";
@@ -35,6 +40,8 @@
   return parsed;
 }
 
+bool StartCryptography() { return sodium_init() >= 0; }
+
 void StartLogging(std::string_view program) {
   FLAGS_logtostderr = true;
   static const std::string kName(program);  // glog keeps the pointer.
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -1,11 +1,12 @@
 #ifndef FIGHATCH_DAEMON_PROGRAM_H_
 #define FIGHATCH_DAEMON_PROGRAM_H_
 
-#include <functional>
 #include <iostream>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "fighatch/result.h"
 
@@ -14,16 +15,25 @@
 /// Exit codes that all daemons share.
 enum class ExitCode : int { kOk = 0, kFailed = 1, kUsage = 2, kBadSettings = 3 };
 
+/// An option of one program that takes no value.
+struct ProgramFlag {
+  std::string m_name;
+  std::string m_help;
+};
+
 /// What `--help` says of a program.
 struct ProgramInfo {
   std::string_view m_name;
   std::string_view m_summary;
+  std::vector<ProgramFlag> m_flags;
 };
 
 /// The options that every daemon takes.
 struct ProgramOptions {
   std::string m_settings_path;
   bool m_check_only = false;
+  /// Names of the program's own flags that were given.
+  std::set<std::string> m_flags;
 };
 
 /// Handles `--help`, `--version` and wrong usage; the exit code is set if the program must end at once.
@@ -35,16 +45,19 @@
 /// Parses `--config FILE`, `--check-config`, `--help` and `--version`.
 [[nodiscard]] ParsedCommandLine ParseCommandLine(int argc, char** argv, const ProgramInfo& info);
 
+/// Makes libsodium ready; false if it cannot be used.
+[[nodiscard]] bool StartCryptography();
+
 /// Starts logging to standard error with one line an event.
 void StartLogging(std::string_view program);
 
 /// Reads a whole settings file. Errors: `kSettingsUnreadable`.
 [[nodiscard]] Result<std::string> ReadSettingsFile(const std::string& path);
 
-/// The common frame of a daemon: command line, settings, logging, then `run`.
-template <typename Settings>
+/// The common frame of a daemon: command line, settings, logging, libsodium, then `run(settings, options)`.
+template <typename Settings, typename Run>
 int RunProgram(int argc, char** argv, const ProgramInfo& info, Result<Settings> (*parse)(std::string_view text),
-               const std::function<ExitCode(const Settings&)>& run) {
+               const Run& run) {
   const ParsedCommandLine command_line = ParseCommandLine(argc, argv, info);
   if (command_line.m_exit) return static_cast<int>(*command_line.m_exit);
   const Result<std::string> text = ReadSettingsFile(command_line.m_options.m_settings_path);
@@ -59,7 +72,8 @@
     return static_cast<int>(ExitCode::kOk);
   }
   StartLogging(info.m_name);
-  return static_cast<int>(run(ValueOf(settings)));
+  if (!StartCryptography()) return static_cast<int>(ExitCode::kFailed);
+  return static_cast<int>(run(ValueOf(settings), command_line.m_options));
 }
 
 }  // namespace fighatch::daemon
--- a/src/distribution/state_distributor.cc
+++ b/src/distribution/state_distributor.cc
@@ -57,7 +57,7 @@
 
   DistributorActions OnStateChanged(TimePoint now) {
     Start(now);
-    const StateDelta* delta = m_pushed_version ? m_history->DeltaFrom(*m_pushed_version) : nullptr;
+    const EncodedDelta* delta = m_pushed_version ? m_history->DeltaFrom(*m_pushed_version) : nullptr;
     const bool is_one_step = delta != nullptr && delta->m_to == m_history->CurrentVersion() &&
                              delta->m_content.size() <= distribution::kChunkBytes;
     for (const auto& [host, child] : m_children) {
@@ -230,7 +230,7 @@
       return ServeSnapshot(sender, request);
     if (request.m_have > m_history->CurrentVersion()) return;
     if (request.m_have == m_history->CurrentVersion() && !request.m_wants_snapshot) return;
-    const StateDelta* delta = request.m_wants_snapshot ? nullptr : m_history->DeltaFrom(request.m_have);
+    const EncodedDelta* delta = request.m_wants_snapshot ? nullptr : m_history->DeltaFrom(request.m_have);
     if (delta == nullptr) return SendSnapshot(sender, request);
     std::uint32_t first = request.m_transfer == delta->m_to ? request.m_first_chunk : 0;
     for (std::uint32_t budget = kWindowChunks; budget > 0 && delta != nullptr;) {
@@ -240,7 +240,7 @@
     }
   }
 
-  std::uint32_t SendDelta(const StatePeer& peer, const StateDelta& delta, std::uint32_t first, std::uint32_t budget) {
+  std::uint32_t SendDelta(const StatePeer& peer, const EncodedDelta& delta, std::uint32_t first, std::uint32_t budget) {
     ChunkMessage head;
     head.m_from = delta.m_from;
     head.m_to = delta.m_to;
--- a/src/distribution/state_history.cc
+++ b/src/distribution/state_history.cc
@@ -8,7 +8,7 @@
 StateHistory::StateHistory(StateMachine* machine, Version version)
     : m_machine(machine), m_version(version), m_digest(machine->Digest()) {}
 
-Status StateHistory::Apply(StateDelta delta) {
+Status StateHistory::Apply(EncodedDelta delta) {
   if (delta.m_from != m_version || delta.m_to <= m_version)
     return MakeError(ErrorCode::kMessageMalformed, "delta does not fit the version");
   if (Status applied = m_machine->ApplyDelta(delta.m_to, delta.m_content); !IsOk(applied)) return applied;
@@ -16,14 +16,14 @@
   return OkStatus();
 }
 
-Status StateHistory::Record(StateDelta delta) {
+Status StateHistory::Record(EncodedDelta delta) {
   if (delta.m_from != m_version || delta.m_to <= m_version)
     return MakeError(ErrorCode::kMessageMalformed, "delta does not fit the version");
   Append(std::move(delta));
   return OkStatus();
 }
 
-void StateHistory::Append(StateDelta delta) {
+void StateHistory::Append(EncodedDelta delta) {
   m_version = delta.m_to;
   m_digest = m_machine->Digest();
   delta.m_digest = m_digest;
@@ -47,9 +47,9 @@
   return OkStatus();
 }
 
-const StateDelta* StateHistory::DeltaFrom(Version from) const noexcept {
+const EncodedDelta* StateHistory::DeltaFrom(Version from) const noexcept {
   const auto found = std::lower_bound(m_deltas.begin(), m_deltas.end(), from,
-                                      [](const StateDelta& delta, Version wanted) { return delta.m_from < wanted; });
+                                      [](const EncodedDelta& delta, Version wanted) { return delta.m_from < wanted; });
   return found != m_deltas.end() && found->m_from == from ? &*found : nullptr;
 }
 
--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -78,6 +78,7 @@
     std::filesystem::remove_all(kFolder);
     std::filesystem::create_directories(kFolder);
     std::ofstream(kFolder + "/operator.key") << std::string(64, '7') << "\n";
+    std::ofstream(kFolder + "/cluster.key") << std::string(64, '8') << "\n";
     for (std::uint32_t host = 1; host <= kHosts; ++host) {
       m_http[host] = FreeEndpoint();
       m_messages[host] = FreeEndpoint();
@@ -105,6 +106,7 @@
                                           {"data_centre", "dc"},
                                           {"data_folder", DataFolder(host)},
                                           {"operator_key_file", kFolder + "/operator.key"},
+                                          {"cluster_keys", {{{"id", 1}, {"file", kFolder + "/cluster.key"}}}},
                                           {"snapshot_entries", 32},
                                           {"control_hosts", hosts}};
   }
@@ -166,6 +168,7 @@
   daemon::OperatorKey m_key = [] {
     std::filesystem::create_directories(kFolder);
     std::ofstream(kFolder + "/operator.key") << std::string(64, '7') << "\n";
+    std::ofstream(kFolder + "/cluster.key") << std::string(64, '8') << "\n";
     return ValueOf(daemon::OperatorKey::Load(kFolder + "/operator.key"));
   }();
 };
