--- a/programs/balancer/balancer.cc
+++ b/programs/balancer/balancer.cc
@@ -93,11 +93,11 @@
   daemon::PeerDirectory directory;
   directory.m_find = [this](HostId host) { return m_control ? m_control->FindEndpoint(host) : std::nullopt; };
   directory.m_balancers = [this] { return m_control ? m_control->OtherBalancers() : std::vector<HostId>(); };
-  Result<std::unique_ptr<daemon::PeerLinks>> links = daemon::PeerLinks::Create(
-      m_settings.m_control_endpoint, &*m_channel, std::move(directory),
-      [this](const Envelope& message, const Endpoint& source) {
-        if (m_control) m_control->OnMessage(message, source);
-      });
+  Result<std::unique_ptr<daemon::PeerLinks>> links =
+      daemon::PeerLinks::Create(m_settings.m_control_endpoint, &*m_channel, std::move(directory),
+                                [this](const Envelope& message, const Endpoint& source) {
+                                  if (m_control) m_control->OnMessage(message, source);
+                                });
   if (!IsOk(links)) return ErrorOf(links);
   m_links = std::move(ValueOf(links));
 
@@ -169,8 +169,8 @@
   options.m_seeds = m_settings.m_seeds;
   options.m_target_keys = m_target_keys;
   options.m_seed = RandomBits();
-  m_control = std::make_unique<daemon::ControlLoop>(
-      options, daemon::ControlLoopParts{m_data_plane.get(), m_links.get()}, state);
+  m_control = std::make_unique<daemon::ControlLoop>(options,
+                                                    daemon::ControlLoopParts{m_data_plane.get(), m_links.get()}, state);
 
   RequestEngineSettings engine;
   engine.m_host = m_settings.m_host;
--- a/programs/balancer/balancer_http.cc
+++ b/programs/balancer/balancer_http.cc
@@ -11,7 +11,9 @@
 
 using nlohmann::json;
 
-HttpResponse JsonResponse(const json& body) { return {200, {{"Content-Type", "application/json"}}, body.dump(1) + "\n"}; }
+HttpResponse JsonResponse(const json& body) {
+  return {200, {{"Content-Type", "application/json"}}, body.dump(1) + "\n"};
+}
 
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> fields;
@@ -151,9 +153,8 @@
   m_metrics.AddGauge("fighatch_state_generation", "Generation of the state in force.", {}, [this] {
     return m_follower ? static_cast<double>(m_follower->State().m_version.m_generation) : 0.0;
   });
-  m_metrics.AddGauge("fighatch_requests_in_progress", "Requests in progress on this balancer.", {}, [this] {
-    return m_requests ? static_cast<double>(m_requests->Engine().CallsInProgress()) : 0.0;
-  });
+  m_metrics.AddGauge("fighatch_requests_in_progress", "Requests in progress on this balancer.", {},
+                     [this] { return m_requests ? static_cast<double>(m_requests->Engine().CallsInProgress()) : 0.0; });
   struct RequestRow {
     const char* m_name;
     const char* m_help;
