Let a full message of flow records fit a datagram

Cause: up to 48 records were sent in one message. They take 1,187 bytes, but the envelope leaves 1,134 of the 1,200 bytes of a UDP message, so that a full batch could not be sealed.

Change: at most 45 records in a message. A test checks that a full message fits and that one record more does not.

Conclusion: every batch of records fits its datagram.

--- a/include/fighatch/flow_records_message.h
+++ b/include/fighatch/flow_records_message.h
@@ -27,8 +27,8 @@
   }
 };
 
-/// Records in one message at most, so that it fits an Ethernet frame.
-inline constexpr std::size_t kMaxRecordsInMessage = 48;
+/// Records in one message at most. 45 records of 24 bytes and 35 bytes beside them fit `kMaxUdpPayloadBytes`, 46 don't.
+inline constexpr std::size_t kMaxRecordsInMessage = 45;
 
 /// The version of both messages that this program speaks.
 inline constexpr std::uint8_t kFlowRecordsVersion = 1;
--- a/tests/flow_records_test.cc
+++ b/tests/flow_records_test.cc
@@ -3,6 +3,7 @@
 
 #include <map>
 
+#include "fighatch/envelope.h"
 #include "flow_test_support.h"
 
 namespace fighatch {
@@ -72,7 +73,7 @@
   const auto last = transfer.Tick(AtMs(1260));
   ASSERT_EQ(last.size(), 1U);
   EXPECT_TRUE(last[0].m_message.m_final);
-  EXPECT_EQ(last[0].m_message.m_records.size(), 2U);
+  EXPECT_EQ(last[0].m_message.m_records.size(), 50 - kMaxRecordsInMessage);
   transfer.OnAck({kFlowRecordsVersion, HostId{2}, 0, last[0].m_message.m_sequence});
   EXPECT_TRUE(transfer.IsIdle());
 }
@@ -120,5 +121,15 @@
   EXPECT_EQ(ValueOf(DecodeFlowRecordsAck(EncodeFlowRecordsAck(ack))), ack);
 }
 
+// Guards against batches that the channel refuses as too long: 48 records were allowed, which take 1,187 bytes where
+// 1,134 fit a datagram.
+TEST(FlowRecordsMessageTest, AFullMessageFitsADatagram) {
+  FlowRecordsMessage message;
+  message.m_records.resize(kMaxRecordsInMessage);
+  EXPECT_LE(EncodeFlowRecords(message).size(), kMaxUdpPayloadBytes);
+  message.m_records.resize(kMaxRecordsInMessage + 1);
+  EXPECT_GT(EncodeFlowRecords(message).size(), kMaxUdpPayloadBytes) << "room for more records is left unused";
+}
+
 }  // namespace
 }  // namespace fighatch
