Visit only remembered flows of changed services on a new table

Cause: FlowDecider::SetTable looked up each of 32,768 remembered flows in the new table, whatever had changed, and held the shard's lock meanwhile.

Change: RecentFlows keeps the newest tick of each block of 64 places and skips blocks without flows of the last 4 s. Only flows of services whose table is another one are looked up, and a flow at the settled owner of its slot needs no search for its target. A flow for which there was no room is tried again with the next table, as before.

--- a/include/fighatch/flow_decider.h
+++ b/include/fighatch/flow_decider.h
@@ -14,6 +14,7 @@
 #include "fighatch/flow_records_message.h"
 #include "fighatch/forwarding_table.h"
 #include "fighatch/packet.h"
+#include "fighatch/recent_flows.h"
 #include "fighatch/record_transfer.h"
 #include "fighatch/silence_detector.h"
 #include "fighatch/time.h"
@@ -96,6 +97,10 @@
     std::uint16_t m_shards = 1;
     std::set<std::uint16_t> m_finished_shards;
   };
+  struct ChangedService {
+    ServiceId m_id;
+    const ServiceTable* m_table = nullptr;
+  };
   struct Context {
     const Packet* m_packet;
     const ServiceTable* m_service;
@@ -117,7 +122,12 @@
   /// Remembers a packet that was forwarded without a record.
   void NoteUnrecorded(const Context& context, const TargetEntry& target) noexcept;
   [[nodiscard]] bool AddRecord(const FlowRecord& record, DataCentreId keepers, TimePoint now);
-  void RecordRecentFlows(std::vector<FlowRecord>* recent, TimePoint now);
+  /// Services whose table differs from the former one, ascending by id; those that are gone have no table.
+  [[nodiscard]] std::vector<ChangedService> ChangedServices(const ForwardingTable* former) const;
+  /// Records the remembered flows of these services whose slots change.
+  void RecordRecentFlows(const std::vector<ChangedService>& changed, RecentFlows* recent, TimePoint now);
+  /// True if the flow needs no place among the remembered ones any more.
+  [[nodiscard]] bool RecordRecentFlow(const FlowRecord& record, const ServiceTable* service, TimePoint now);
   void NoteChangedServices(const ForwardingTable* former, TimePoint now);
   void RemoveRecordsOfGoneTargets(const ForwardingTable& former);
   void StartScan(const std::shared_ptr<const ForwardingTable>& former);
@@ -134,10 +144,12 @@
   SilenceDetector m_silence;
   /// First packets that were forwarded without a record, as a ring. If their slots change, they are recorded, so that a
   /// retransmission does not open the flow again elsewhere.
-  std::vector<FlowRecord> m_recent_first;
+  RecentFlows m_recent_first;
   std::size_t m_recent_position = 0;
   /// Active UDP flows without a record, by fingerprint; a later flow replaces an earlier one in the same place.
-  std::vector<FlowRecord> m_recent_udp;
+  RecentFlows m_recent_udp;
+  /// Services with remembered flows for which there was no room in `m_records`; tried again with the next table.
+  std::set<ServiceId> m_unrecorded;
   /// The table by which the records were last placed on keepers; null if no transfer is in progress.
   std::shared_ptr<const ForwardingTable> m_scan_base;
   std::size_t m_scan_position = 0;
--- /dev/null
+++ b/include/fighatch/recent_flows.h
@@ -0,0 +1,58 @@
+#ifndef FIGHATCH_RECENT_FLOWS_H_
+#define FIGHATCH_RECENT_FLOWS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "fighatch/flow_records.h"
+
+namespace fighatch {
+
+/// Flows that were forwarded without a record, each at a position of the caller's choice. Visits skip the parts that
+/// hold no flow of late. Memory is allocated by the constructor only.
+class RecentFlows {
+ public:
+  /// Rounds the number of positions up to whole blocks.
+  explicit RecentFlows(std::size_t size);
+
+  /// Puts a flow at `position % size()`, in place of the former one.
+  void Put(std::size_t position, const FlowRecord& record) noexcept {
+    const std::size_t index = position % m_records.size();
+    m_records[index] = record;
+    m_newest[index / kBlock] = record.m_last_seen;
+  }
+
+  /// Visits the flows that were seen within `ticks` before `now` and removes those for which `remove(record)` is true.
+  template <typename Remove>
+  void RemoveIf(std::uint32_t now, std::uint32_t ticks, const Remove& remove) {
+    for (std::size_t block = 0; block < m_newest.size(); ++block) {
+      if (IsOlder(m_newest[block], now, ticks)) continue;
+      for (std::size_t index = block * kBlock; index < (block + 1) * kBlock; ++index) {
+        FlowRecord& record = m_records[index];
+        if (record.m_target.m_value == 0) continue;
+        if (IsOlder(record.m_last_seen, now, ticks) || remove(record)) record = FlowRecord{};
+      }
+    }
+  }
+
+  [[nodiscard]] std::size_t size() const noexcept { return m_records.size(); }
+  /// Memory in bytes.
+  [[nodiscard]] std::size_t Bytes() const noexcept;
+
+ private:
+  static constexpr std::size_t kBlock = 64;
+
+  /// Threads that share a shard may bring times that differ by a tick, in either order.
+  static constexpr bool IsOlder(std::uint32_t seen, std::uint32_t now, std::uint32_t ticks) noexcept {
+    return now > seen && now - seen > ticks;
+  }
+
+  std::vector<FlowRecord> m_records;
+  /// Tick of the last flow that was put into each block.
+  std::vector<std::uint32_t> m_newest;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_RECENT_FLOWS_H_
--- a/src/flow/flow_decider.cc
+++ b/src/flow/flow_decider.cc
@@ -201,10 +201,10 @@
   if (packet.m_kind == PacketKind::kLater) return;
   const FlowRecord record{packet.m_flow_hash, target.m_id, target.m_service, FlowTick(context.m_now)};
   if (packet.m_kind == PacketKind::kDatagram) {
-    m_recent_udp[(packet.m_flow_hash >> 32U) % m_recent_udp.size()] = record;
+    m_recent_udp.Put(packet.m_flow_hash >> 32U, record);
     return;
   }
-  m_recent_first[m_recent_position] = record;
+  m_recent_first.Put(m_recent_position, record);
   m_recent_position = (m_recent_position + 1) % m_recent_first.size();
 }
 
--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -35,8 +35,11 @@
     RemoveRecordsOfGoneTargets(*former);
     StartScan(former);
   }
-  RecordRecentFlows(&m_recent_first, now);
-  RecordRecentFlows(&m_recent_udp, now);
+  const std::vector<ChangedService> changed = ChangedServices(former.get());
+  m_unrecorded.clear();
+  if (changed.empty()) return;
+  RecordRecentFlows(changed, &m_recent_first, now);
+  RecordRecentFlows(changed, &m_recent_udp, now);
 }
 
 void FlowDecider::NoteChangedServices(const ForwardingTable* former, TimePoint now) {
@@ -72,21 +75,46 @@
   m_scan_position = 0;
 }
 
-void FlowDecider::RecordRecentFlows(std::vector<FlowRecord>* recent, TimePoint now) {
-  const std::uint32_t tick = FlowTick(now);
-  for (FlowRecord& record : *recent) {
-    if (record.m_target.m_value == 0) continue;
-    const ServiceTable* service = m_table->FindService(record.m_service);
-    const bool is_gone = service == nullptr || service->FindTarget(record.m_target) == nullptr;
-    // A target that comes back must not get flows that have been opened elsewhere meanwhile.
-    if (is_gone || tick - record.m_last_seen > kRecentTicks) {
-      record = FlowRecord{};
-      continue;
-    }
-    const SlotOwners owners = service->Resolve(service->SlotOf(record.m_fingerprint));
-    if (owners.m_settled || !owners.m_record_first) continue;
-    if (AddRecord(record, owners.m_keeper_data_centre, now)) record = FlowRecord{};
+std::vector<FlowDecider::ChangedService> FlowDecider::ChangedServices(const ForwardingTable* former) const {
+  std::vector<ChangedService> changed;
+  std::span<const std::shared_ptr<const ServiceTable>> old;
+  if (former != nullptr) old = former->AllServices();
+  // Both lists ascend by id; an unchanged service has the same table in both.
+  auto before = old.begin();
+  for (const std::shared_ptr<const ServiceTable>& service : m_table->AllServices()) {
+    for (; before != old.end() && (*before)->Id() < service->Id(); ++before) changed.push_back({(*before)->Id()});
+    const bool is_known = before != old.end() && (*before)->Id() == service->Id();
+    const bool is_same = is_known && *before == service && !m_unrecorded.contains(service->Id());
+    if (!is_same) changed.push_back({service->Id(), service.get()});
+    if (is_known) ++before;
   }
+  for (; before != old.end(); ++before) changed.push_back({(*before)->Id()});
+  return changed;
+}
+
+void FlowDecider::RecordRecentFlows(const std::vector<ChangedService>& changed, RecentFlows* recent, TimePoint now) {
+  recent->RemoveIf(FlowTick(now), kRecentTicks, [&](const FlowRecord& record) {
+    const auto found =
+        std::lower_bound(changed.begin(), changed.end(), record.m_service,
+                         [](const ChangedService& service, ServiceId wanted) { return service.m_id < wanted; });
+    const bool is_changed = found != changed.end() && found->m_id == record.m_service;
+    return is_changed && RecordRecentFlow(record, found->m_table, now);
+  });
+}
+
+bool FlowDecider::RecordRecentFlow(const FlowRecord& record, const ServiceTable* service, TimePoint now) {
+  if (service == nullptr) return true;
+  const std::uint32_t slot = service->SlotOf(record.m_fingerprint);
+  const TargetEntry* settled = service->SettledOwner(slot);
+  if (settled != nullptr && settled->m_id == record.m_target) return false;
+  // A target that comes back must not get flows that have been opened elsewhere meanwhile.
+  if (service->FindTarget(record.m_target) == nullptr) return true;
+  if (settled != nullptr) return false;
+  const SlotOwners owners = service->Resolve(slot);
+  if (owners.m_settled || !owners.m_record_first) return false;
+  if (AddRecord(record, owners.m_keeper_data_centre, now)) return true;
+  m_unrecorded.insert(record.m_service);
+  return false;
 }
 
 bool FlowDecider::AddRecord(const FlowRecord& record, DataCentreId keepers, TimePoint now) {
@@ -193,7 +221,7 @@
 }
 
 std::size_t FlowDecider::Bytes() const noexcept {
-  return m_records.Bytes() + m_silence.Bytes() + (m_recent_first.size() + m_recent_udp.size()) * sizeof(FlowRecord);
+  return m_records.Bytes() + m_silence.Bytes() + m_recent_first.Bytes() + m_recent_udp.Bytes();
 }
 
 }  // namespace fighatch
--- a/tests/flow_records_test.cc
+++ b/tests/flow_records_test.cc
@@ -55,6 +55,27 @@
   EXPECT_EQ(records.size(), 500U);
 }
 
+// Guards against remembered flows that a visit skips with their block, and against old ones that it still finds.
+TEST(RecentFlowsTest, VisitsExactlyTheFlowsSeenOfLate) {
+  RecentFlows recent(200);
+  std::map<std::size_t, std::uint32_t> model;
+  for (std::uint64_t step = 0; step < 3000; ++step) {
+    const std::size_t position = step * 7919 % recent.size();
+    const auto tick = static_cast<std::uint32_t>(step / 10);
+    recent.Put(position, RecordOf(position, 1, tick));
+    model[position] = tick;
+    if (step % 100 != 0) continue;
+    std::map<std::size_t, std::uint32_t> visited;
+    recent.RemoveIf(tick, 5, [&](const FlowRecord& record) {
+      visited[record.m_fingerprint] = record.m_last_seen;
+      return record.m_fingerprint % 3 == 0;
+    });
+    std::erase_if(model, [tick](const auto& entry) { return tick - entry.second > 5; });
+    EXPECT_EQ(visited, model);
+    std::erase_if(model, [](const auto& entry) { return entry.first % 3 == 0; });
+  }
+}
+
 // Guards against records that are lost with a message, and against an end mark that overtakes them.
 TEST(RecordTransferTest, ResendsUntilAcknowledgedAndMarksTheEndLast) {
   RecordTransferOptions options;
