--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -148,7 +148,7 @@
   if (m_table == nullptr) return {};
   if (m_is_scanning) {
     Scan();
-  } else {
+  } else if (m_records.size() > 0) {
     // Removal moves records between positions, so that it waits until a scan has seen all of them.
     const std::uint32_t tick = FlowTick(now);
     m_records.Sweep(std::min(kPositionsInTick, m_records.Positions()),
