Measure distribution at 27 data centres and membership cost alone

Cause: the capacity page needs slopes at the planned topology, and bytes of control hosts and balancers apart; full membership runs take minutes. Change: propagation runs 500, 1,500, 5,000 and 14,000 daemons in 27 data centres, names the data centres in its lines and reports control hosts and balancers apart.

--- a/bench/flow_fixture.h
+++ b/bench/flow_fixture.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 #include <memory>
 #include <string>
 #include <vector>
@@ -98,6 +99,14 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
 }
 
+/// Runs `action` and returns the processor time of this process in seconds that it took.
+template <typename Action>
+double CpuSecondsOf(const Action& action) {
+  const std::clock_t start = std::clock();
+  action();
+  return static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+}
+
 }  // namespace fighatch::bench
 
 #endif  // FIGHATCH_BENCH_FLOW_FIXTURE_H_
--- a/bench/membership_detection.cc
+++ b/bench/membership_detection.cc
@@ -120,11 +120,22 @@
   return ReportQuantiles(prefix + "detection_loss_10", times, "s", kDetectionBoundS) && pass;
 }
 
+/// The cost alone, for the slopes of the capacity page.
+bool MeasureCosts() {
+  bool pass = true;
+  for (const std::uint32_t size : {8U, 50U, 200U, 500U}) {
+    Cluster cluster(size);
+    pass = MeasureCost(&cluster, size, "membership_" + std::to_string(size) + "_") && pass;
+  }
+  return pass;
+}
+
 }  // namespace
 }  // namespace fighatch::bench
 
 int main(int argc, char** argv) {
   using fighatch::bench::Measure;
+  if (argc > 1 && std::strcmp(argv[1], "--cost") == 0) return fighatch::bench::MeasureCosts() ? 0 : 1;
   const bool quick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
   bool pass = Measure(8, quick ? 10 : 100, quick ? 600 : 3600);
   pass = Measure(50, quick ? 5 : 50, quick ? 60 : 600) && pass;
--- a/bench/propagation.cc
+++ b/bench/propagation.cc
@@ -1,8 +1,10 @@
 // Time from a change on the control hosts until it is in force, and bytes and CPU time for it, in virtual time with 1
 // ms between hosts and 3% loss, at 39,000 changes a day.
 
+#include <algorithm>
 #include <cstring>
 #include <ctime>
+#include <optional>
 #include <string>
 
 #include "distribution_node.h"
@@ -37,8 +39,10 @@
   return times;
 }
 
-bool Measure(std::uint32_t daemons, std::uint16_t data_centres, std::size_t fanout, int changes) {
-  const std::string prefix = "distribution_" + std::to_string(daemons) + "_fanout_" + std::to_string(fanout) + "_";
+bool Measure(std::uint32_t daemons, std::uint16_t data_centres, std::size_t fanout, int changes,
+             std::optional<double> bytes_bound = kControlBoundBytesPerS) {
+  const std::string prefix = "distribution_" + std::to_string(daemons) + "_in_" + std::to_string(data_centres) +
+                             "_fanout_" + std::to_string(fanout) + "_";
   LinkSettings links;
   links.m_loss = 0.03;
   DistributionCluster cluster(daemons, data_centres, fanout, links, kSeed);
@@ -58,14 +62,21 @@
   const double cpu = CpuSeconds() - cpu_before;
   const double run_s = std::chrono::duration<double>(network.Now() - start).count();
   std::vector<double> both;
+  std::vector<double> of_control_hosts;
+  std::vector<double> of_balancers;
+  const std::vector<HostId> balancers = cluster.Balancers();
   for (const HostId host : network.Hosts()) {
     const double sent = static_cast<double>(network.BytesSent().at(host));
     both.push_back((sent + static_cast<double>(network.BytesReceived().at(host))) / run_s);
+    const bool is_balancer = std::find(balancers.begin(), balancers.end(), host) != balancers.end();
+    (is_balancer ? of_balancers : of_control_hosts).push_back(both.back());
   }
   network.RunFor(seconds(10));
   Report(prefix + "cpu_per_daemon", cpu / run_s / daemons * 100, "% of a core, with the virtual network");
   Report(prefix + "sent_and_received_per_daemon_p50", Quantile(both, 0.5), "B/s");
-  bool pass = Report(prefix + "sent_and_received_per_daemon_max", Quantile(both, 1), "B/s", kControlBoundBytesPerS);
+  bool pass = Report(prefix + "sent_and_received_per_daemon_max", Quantile(both, 1), "B/s", bytes_bound);
+  Report(prefix + "sent_and_received_per_control_host_max", Quantile(of_control_hosts, 1), "B/s");
+  Report(prefix + "sent_and_received_per_balancer_max", Quantile(of_balancers, 1), "B/s");
   pass = ReportQuantiles(prefix + "in_force_loss_3", TimesInForce(&cluster, made), "s", kPropagationBoundS) && pass;
   const InForceReport report = network.Find({1})->Distributor().InForce(network.Now());
   Report(prefix + "hosts_known_to_leader", report.m_hosts, "hosts");
@@ -83,10 +94,14 @@
   pass = Measure(50, 3, kDefaultTreeFanout, quick ? 20 : 100) && pass;
   pass = Measure(500, 3, kDefaultTreeFanout, quick ? 10 : 60) && pass;
   if (!quick) {
+    // The planned size has 27 data centres.
+    pass = Measure(500, 27, kDefaultTreeFanout, 40) && pass;
+    pass = Measure(1500, 27, kDefaultTreeFanout, 40) && pass;
     pass = Measure(5000, 27, kDefaultTreeFanout, 40) && pass;
+    pass = Measure(14000, 27, kDefaultTreeFanout, 40) && pass;
     // Other fanouts are printed for comparison only.
-    Measure(500, 3, 8, 60);
-    Measure(500, 3, 16, 60);
+    Measure(500, 3, 8, 60, std::nullopt);
+    Measure(500, 3, 16, 60, std::nullopt);
   }
   return pass ? 0 : 1;
 }
