--- a/programs/load/flow_callers.cc
+++ b/programs/load/flow_callers.cc
@@ -180,6 +180,7 @@
   } else {
     ++TimelineAt(m_report, now - m_start).m_bad;
     ++(was_established ? m_report.m_broken : m_report.m_failed_to_open);
+    if (was_established) ++m_report.m_broken_by_target[flow.m_target];
   }
   m_flows.erase(found);
 }
--- a/programs/load/report.cc
+++ b/programs/load/report.cc
@@ -28,11 +28,15 @@
     {"resends", &ServiceReport::m_resends},
     {"wrong_answers", &ServiceReport::m_wrong_answers},
     {"truncated_answers", &ServiceReport::m_truncated_answers},
+    {"entries_started", &ServiceReport::m_entries_started},
+    {"entries_completed", &ServiceReport::m_entries_completed},
 };
 
 nlohmann::json ToJsonObject(const ServiceReport& report) {
   nlohmann::json object = {{"service", report.m_service}, {"kind", report.m_kind}};
   for (const CounterRow& row : kCounters) object[row.m_name] = report.*row.m_value;
+  object["broken_by_target"] = report.m_broken_by_target;
+  object["not_run_keys"] = report.m_not_run_keys;
   object["latency_us"] = {{"p50", report.m_latency.Quantile(0.5).count()},
                           {"p99", report.m_latency.Quantile(0.99).count()},
                           {"p999", report.m_latency.Quantile(0.999).count()},
--- a/programs/load/report.h
+++ b/programs/load/report.h
@@ -37,6 +37,13 @@
   /// Answers that belong to another request, or segments of another target or service.
   std::uint64_t m_wrong_answers = 0;
   std::uint64_t m_truncated_answers = 0;
+  /// Requests that are entries; the others are lookups.
+  std::uint64_t m_entries_started = 0;
+  std::uint64_t m_entries_completed = 0;
+  /// Broken flows by the target that served them; the name is empty if no segment was answered yet.
+  std::map<std::string, std::uint64_t> m_broken_by_target;
+  /// Idempotency keys of entries that were answered "not run".
+  std::vector<std::string> m_not_run_keys;
   /// From the intended start, so that a stalled tool does not hide latency (coordinated omission).
   LatencyHistogram m_latency;
   std::vector<TimelinePoint> m_timeline;
--- a/programs/load/request_callers.cc
+++ b/programs/load/request_callers.cc
@@ -70,6 +70,7 @@
   SetHeader(&pending.m_request.m_headers, "X-Request-Id", pending.m_token);
   SetHeader(&pending.m_request.m_headers, "Request-Timeout", std::to_string(m_workload.m_deadline.count()));
   if (is_entry) {
+    ++m_report.m_entries_started;
     pending.m_request.m_body = "entry " + pending.m_token;
     const std::string id = TakeSpareId(now);
     if (!id.empty()) SetHeader(&pending.m_request.m_headers, "Idempotency-Key", id);
@@ -125,6 +126,8 @@
   const bool is_good = outcome == "answered" && response.m_status < 300;
   if (outcome == "not-run") {
     ++m_report.m_not_run;
+    const auto key = FindHeader(pending.m_request.m_headers, "Idempotency-Key");
+    if (key) m_report.m_not_run_keys.emplace_back(*key);
   } else if (outcome != "answered") {
     ++m_report.m_unknown;
   } else {
@@ -145,6 +148,7 @@
 
 void RequestCallers::Finish(std::uint64_t id, bool good, Time now) {
   if (good) ++m_report.m_completed;
+  if (good && m_pending.at(id).m_request.m_method == "POST") ++m_report.m_entries_completed;
   TimelinePoint& point = TimelineAt(m_report, now - m_start);
   ++(good ? point.m_good : point.m_bad);
   m_pending.erase(id);
--- a/programs/target/record_server.cc
+++ b/programs/target/record_server.cc
@@ -36,8 +36,8 @@
   const std::string token(FindHeader(request.m_headers, "X-Request-Id").value_or(""));
   return {200,
           {{"Content-Type", "text/plain"}},
-          m_settings.m_service + " " + ToString(m_settings.m_http) + " " + request.m_method + " " + request.m_path + " " +
-              token + "\n"};
+          m_settings.m_service + " " + ToString(m_settings.m_http) + " " + request.m_method + " " + request.m_path +
+              " " + token + "\n"};
 }
 
 void RecordServer::Record(const HttpRequest& request) {
--- a/programs/target/record_server.h
+++ b/programs/target/record_server.h
@@ -36,6 +36,8 @@
   void FallCold();
 
   [[nodiscard]] std::uint32_t InProgress() const noexcept { return m_in_progress; }
+  /// Records by idempotency key.
+  [[nodiscard]] const std::unordered_map<std::string, std::uint32_t>& Records() const noexcept { return m_records; }
   [[nodiscard]] const RecordCounters& Counters() const noexcept { return m_counters; }
 
  private:
--- a/programs/target/target.cc
+++ b/programs/target/target.cc
@@ -114,6 +114,9 @@
   if (request.m_path == "/health") return {m_state == TargetState::kServing ? 200 : 503, {}, "\n"};
   if (request.m_path == "/load") return {200, {{"Content-Type", "application/json"}}, LoadJson()};
   if (request.m_path == "/v1/stats") return {200, {{"Content-Type", "application/json"}}, StatsJson()};
+  if (request.m_path == "/v1/records") {
+    return {200, {{"Content-Type", "application/json"}}, nlohmann::json(m_records.Records()).dump()};
+  }
   constexpr std::string_view kControl = "/v1/control/";
   if (request.m_method == "POST" && request.m_path.starts_with(kControl)) {
     return HandleControl(request.m_path.substr(kControl.size()));
@@ -139,9 +142,8 @@
 }
 
 std::string Target::LoadJson() const {
-  return nlohmann::json{{"in_progress", m_records.InProgress()},
-                        {"connections", m_flows.OpenConnections()},
-                        {"uptime_ms", UptimeMs()}}
+  return nlohmann::json{
+      {"in_progress", m_records.InProgress()}, {"connections", m_flows.OpenConnections()}, {"uptime_ms", UptimeMs()}}
       .dump();
 }
 
@@ -149,20 +151,14 @@
   const FlowCounters& flows = m_flows.Counters();
   const RecordCounters& records = m_records.Counters();
   const auto idle = std::chrono::duration_cast<milliseconds>(steady_clock::now() - m_flows.LastPacket());
-  return nlohmann::json{{"service", m_settings.m_service},
-                        {"packets", flows.m_packets},
-                        {"opened", flows.m_opened},
-                        {"closed", flows.m_closed},
-                        {"resets", flows.m_resets},
-                        {"misdelivered", flows.m_misdelivered},
-                        {"malformed", flows.m_malformed},
-                        {"ms_since_packet", flows.m_packets == 0 ? -1 : idle.count()},
-                        {"requests", records.m_requests},
-                        {"sheds", records.m_sheds},
-                        {"records", records.m_records},
-                        {"double_records", records.m_double_records},
-                        {"overloads", records.m_overloads},
-                        {"peak_in_progress", records.m_peak_in_progress}}
+  return nlohmann::json{
+      {"service", m_settings.m_service},  {"packets", flows.m_packets},
+      {"opened", flows.m_opened},         {"closed", flows.m_closed},
+      {"resets", flows.m_resets},         {"misdelivered", flows.m_misdelivered},
+      {"malformed", flows.m_malformed},   {"ms_since_packet", flows.m_packets == 0 ? -1 : idle.count()},
+      {"requests", records.m_requests},   {"sheds", records.m_sheds},
+      {"records", records.m_records},     {"double_records", records.m_double_records},
+      {"overloads", records.m_overloads}, {"peak_in_progress", records.m_peak_in_progress}}
       .dump();
 }
 
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -50,11 +50,17 @@
     def __init__(self, name, program, settings, folder):
         self.name = name
         self.settings = folder / f"{name}.json"
-        self.settings.write_text(json.dumps(settings, indent=1))
+        self.settings_json = settings
+        self.rewrite()
         self.log = folder / f"{name}.log"
         self.program = BUILD / program
         self.child = None
 
+    def rewrite(self, **changed):
+        """Writes the settings file with changed fields, for the next start."""
+        self.settings_json.update(changed)
+        self.settings.write_text(json.dumps(self.settings_json, indent=1))
+
     def start(self, *extra):
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen(
