Tell a new coordinator the tables and targets of its data centre

Cause: balancers sent whole target facts only once and refreshes afterwards, and nobody sent tables to a coordinator that had just started or taken over. A restarted coordinator ignored the refreshes of targets that it did not know, published tables without them after 1.1 s, and dropped their flows. Compared: logs, /v1/members and the timeline of the load, which fell when the restarted host 1 took over. Change: CoordinatorWatch has every balancer send its tables and whole facts three times to a coordinator with a new host or incarnation; balancers acknowledge tables only to their writer. The logic of cut-off data centres moves into Reachability. Both have no sockets, and control_loop_test names the failures that they guard against, the one of a data centre heard for the first time included. Targets name themselves in the answer to a first packet, so that flows broken before their first segment are counted for their data centre.

--- a/programs/load/flow_callers.cc
+++ b/programs/load/flow_callers.cc
@@ -133,6 +133,7 @@
     flow.m_acknowledgement = tcp.m_sequence + 1;
     ++m_report.m_established;
     m_report.m_latency.Add(now - flow.m_intended);
+    if (!packet.m_payload.empty()) CheckTarget(flow, packet);
     SendNew(id, flow, now);
     return true;
   }
--- a/programs/target/flow_server.cc
+++ b/programs/target/flow_server.cc
@@ -64,7 +64,8 @@
   }
   if ((tcp.m_flags & kTcpSyn) != 0) {
     if (m_connections.try_emplace(flow, kInitialSequence + 1).second) ++m_counters.m_opened;
-    return Answer(packet, {kInitialSequence, tcp.m_sequence + 1, kTcpSyn | kTcpAck}, {});
+    // The name lets the load tool tell the target of a flow that breaks before its first segment is answered.
+    return Answer(packet, {kInitialSequence, tcp.m_sequence + 1, kTcpSyn | kTcpAck}, m_name);
   }
   const auto found = m_connections.find(flow);
   if (found == m_connections.end()) {
--- a/scripts/lib/scenarios.py
+++ b/scripts/lib/scenarios.py
@@ -141,9 +141,8 @@
             entries = json.loads(deployment.http("GET", host, "/v1/hosts")[1])
         except (OSError, ValueError):
             continue
-        hosts = entries["hosts"] if isinstance(entries, dict) else entries
-        for entry in hosts:
-            if entry.get("leader"):
+        for entry in entries["control_hosts"]:
+            if entry["leader"]:
                 return entry["host"] - 101
     raise RuntimeError("no control leader found")
 
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -18,8 +18,6 @@
 constexpr seconds kAckInterval{5};
 // A member that has not heard anyone for this long counts itself as isolated.
 constexpr seconds kIsolatedAfter{3};
-// A data centre whose members are all silent for this long counts as cut off.
-constexpr seconds kCutOffAfter{2};
 // A starting balancer that has found no keeper by now is the first of its data centre.
 constexpr seconds kFirstKeeperAfter{3};
 // The notice of a leave is repeated by other members for this long before the process ends.
@@ -56,6 +54,7 @@
   if (now >= m_next_coordination) {
     m_next_coordination = now + kCoordinationInterval;
     TickCoordination(now);
+    TickNewCoordinator(now);
     TickFacts(now);
     TickHealthChecks(now);
     TickAcks(now);
@@ -107,7 +106,10 @@
 void ControlLoop::MembersChanged(TimePoint now) {
   m_coordinator.SetMembers(m_membership.AllMembers(), now);
   m_allowance.SetMembers(m_coordinator.MembersDigest(), m_coordinator.MissingMembers());
-  m_allowance.Follow(m_coordinator.Elected(), now);
+  const HostId coordinator = m_coordinator.Elected();
+  m_allowance.Follow(coordinator, now);
+  const std::optional<Member> member = m_membership.Find(coordinator);
+  m_coordinator_watch.Follow(coordinator, member ? member->m_incarnation : Incarnation{}, now);
   m_tables_changed = true;
 }
 
@@ -154,6 +156,18 @@
   m_parts.m_links->Send(coordinator, MessageType::kTargetFacts, wire::Encode(facts));
 }
 
+void ControlLoop::TickNewCoordinator(TimePoint now) {
+  if (!m_coordinator_watch.TakeDue(now)) return;
+  const HostId coordinator = m_coordinator.Elected();
+  if (coordinator == m_options.m_self.m_host || coordinator == HostId{}) return;
+  m_registry.ResendAll();
+  for (const auto& [key, update] : m_tables) {
+    // Tables of other data centres come from their own coordinators.
+    if (key.second != m_options.m_self.m_data_centre && key.second != DataCentreId{}) continue;
+    m_parts.m_links->Send(coordinator, MessageType::kTableUpdate, wire::Encode(update));
+  }
+}
+
 void ControlLoop::TickRecords() {
   for (const RecordSend& send : m_parts.m_data_plane->Tick()) {
     m_parts.m_links->Send(send.m_host, MessageType::kFlowRecords, EncodeFlowRecords(send.m_message));
@@ -252,30 +266,14 @@
 
 void ControlLoop::TickReachability(TimePoint now) {
   for (const auto& [name, data_centre] : m_state.m_data_centres) {
-    if (data_centre.m_id != m_options.m_self.m_data_centre) UpdateReachability(data_centre.m_id, now);
-  }
-}
-
-void ControlLoop::UpdateReachability(DataCentreId id, TimePoint now) {
-  Reachability& reachability = m_reachability[id];
-  if (m_membership.LiveMembersOf(id).empty()) {
-    if (reachability.m_silent_since == TimePoint()) reachability.m_silent_since = now;
-    if (reachability.m_cut_off || now - reachability.m_silent_since <= kCutOffAfter) return;
-    reachability.m_cut_off = true;
-    m_tables_changed = true;
-    LOG(WARNING) << "event=data_centre_cut_off data_centre=" << id.m_value;
-    return;
-  }
-  // Flows are placed elsewhere only while a data centre counts as cut off. One that was never heard before has just
-  // been found by a starting balancer and did not return.
-  if (reachability.m_cut_off) {
+    const DataCentreId id = data_centre.m_id;
+    if (id == m_options.m_self.m_data_centre) continue;
+    const ReachabilityChange change = m_reachability.Update(id, !m_membership.LiveMembersOf(id).empty(), now);
+    if (change == ReachabilityChange::kNone) continue;
     m_tables_changed = true;
-    LOG(INFO) << "event=data_centre_reached data_centre=" << id.m_value;
+    const char* event = change == ReachabilityChange::kCutOff ? "data_centre_cut_off" : "data_centre_reached";
+    LOG(WARNING) << "event=" << event << " data_centre=" << id.m_value;
   }
-  if (reachability.m_cut_off && reachability.m_was_heard) reachability.m_returned_at = now;
-  reachability.m_cut_off = false;
-  reachability.m_was_heard = true;
-  reachability.m_silent_since = TimePoint();
 }
 
 }  // namespace fighatch::daemon
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "daemon/coordinator_watch.h"
 #include "daemon/data_plane.h"
 #include "daemon/peer_links.h"
+#include "daemon/reachability.h"
 #include "daemon/request_shell.h"
 #include "fighatch/allowance_holder.h"
 #include "fighatch/coordinator.h"
@@ -81,13 +83,6 @@
     MessageType m_type;
     Handler m_handler;
   };
-  /// Whether a data centre can be reached; unset time points are at the clock's epoch.
-  struct Reachability {
-    bool m_was_heard = false;
-    bool m_cut_off = false;
-    TimePoint m_silent_since;
-    TimePoint m_returned_at;
-  };
   using TableKey = std::pair<ServiceId, DataCentreId>;
 
   void TickMembership(TimePoint now);
@@ -95,6 +90,8 @@
   void TickCoordination(TimePoint now);
   void TickLeases(TimePoint now);
   void TickFacts(TimePoint now);
+  /// Tells a new coordinator the tables and target facts held here.
+  void TickNewCoordinator(TimePoint now);
   void TickHealthChecks(TimePoint now);
   void CheckTarget(TargetId target, Incarnation incarnation, const Endpoint& endpoint);
   void TickRecords();
@@ -105,7 +102,6 @@
   void OnMembershipEvent(const MembershipEvent& event);
   void MembersChanged(TimePoint now);
   void TickReachability(TimePoint now);
-  void UpdateReachability(DataCentreId id, TimePoint now);
 
   void OnTableUpdateMessage(const Envelope& message);
   void OnTableAckMessage(const Envelope& message);
@@ -143,7 +139,8 @@
   std::shared_ptr<const ForwardingTable> m_table;
   std::map<ServiceId, std::vector<TargetInfo>> m_request_targets;
   bool m_tables_changed = true;
-  std::map<DataCentreId, Reachability> m_reachability;
+  Reachability m_reachability;
+  CoordinatorWatch m_coordinator_watch;
 
   TimePoint m_table_confirmed;
   TimePoint m_peer_heard;
--- a/src/daemon/control_loop_tables.cc
+++ b/src/daemon/control_loop_tables.cc
@@ -12,11 +12,6 @@
 namespace fighatch::daemon {
 namespace {
 
-using std::chrono::seconds;
-
-// How long a data centre that came back is remembered as such: the idle limit of flows.
-constexpr seconds kReturnedFor{300};
-
 bool IsUsable(TargetState state) { return state == TargetState::kServing || state == TargetState::kSuspect; }
 
 }  // namespace
@@ -31,9 +26,13 @@
     m_tables[key] = update;
     RebuildTables(now);
   }
-  m_table_senders[key] = relays ? m_options.m_self.m_host : from;
-  if (from == m_coordinator.Elected()) m_table_confirmed = now;
-  SendAck(key, m_table_senders[key]);
+  const HostId ack_to = relays ? m_options.m_self.m_host : from;
+  const bool from_coordinator = from == m_coordinator.Elected();
+  // Other balancers send known tables to a new coordinator; later acknowledgements are for the writer of the table
+  // only.
+  if (is_newer || relays || from_coordinator) m_table_senders[key] = ack_to;
+  if (from_coordinator) m_table_confirmed = now;
+  SendAck(key, ack_to);
 }
 
 void ControlLoop::SendAck(const TableKey& key, HostId to) {
@@ -69,13 +68,8 @@
   const std::vector<OwnerTable> tables = Tables();
   const std::vector<TargetInfo> targets = AllTargets();
   const std::vector<Member> members = m_membership.AllMembers();
-  std::vector<DataCentreId> cut_off;
-  std::vector<DataCentreId> returned;
-  for (const auto& [id, reachability] : m_reachability) {
-    const bool has_returned = reachability.m_returned_at != TimePoint();
-    if (reachability.m_cut_off) cut_off.push_back(id);
-    if (has_returned && now - reachability.m_returned_at < kReturnedFor) returned.push_back(id);
-  }
+  const std::vector<DataCentreId> cut_off = m_reachability.CutOff();
+  const std::vector<DataCentreId> returned = m_reachability.Returned(now);
   ForwardingTableInput input;
   input.m_state = &m_state;
   input.m_tables = tables;
--- a/src/daemon/data_plane.cc
+++ b/src/daemon/data_plane.cc
@@ -53,9 +53,7 @@
   m_threads.clear();
 }
 
-TimePoint DataPlane::Now() noexcept {
-  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
-}
+TimePoint DataPlane::Now() noexcept { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()); }
 
 void DataPlane::SetTable(const std::shared_ptr<const ForwardingTable>& table, std::vector<Endpoint> balancers) {
   std::sort(balancers.begin(), balancers.end());
--- a/src/daemon/peer_sender.h
+++ b/src/daemon/peer_sender.h
@@ -15,8 +15,8 @@
  public:
   virtual ~PeerSender() = default;
 
-  /// Sends a message without waiting and without a promise that it arrives: in a datagram if it fits one, otherwise over
-  /// the stream to the host.
+  /// Sends a message without waiting and without a promise that it arrives: in a datagram if it fits one, otherwise
+  /// over the stream to the host.
   virtual void Send(HostId host, MessageType type, const std::vector<std::byte>& payload) = 0;
 
   /// Queues a message for the stream to the host. `on_failure` is called, on the thread of the control fibers, if it
--- a/src/daemon/request_shell.cc
+++ b/src/daemon/request_shell.cc
@@ -84,8 +84,7 @@
 
 void RequestShell::Perform(const SendAnswer& action) {
   const std::string text = ToString(action.m_response);
-  m_parts.m_send_to_fabric(
-      BuildUdpPacket(action.m_service_address, action.m_caller, std::as_bytes(std::span(text))));
+  m_parts.m_send_to_fabric(BuildUdpPacket(action.m_service_address, action.m_caller, std::as_bytes(std::span(text))));
 }
 
 void RequestShell::Perform(const SendForward& action) {
@@ -147,8 +146,7 @@
   if (!IsOk(response)) {
     span.SetTag("error", ErrorName(ErrorOf(response).m_code));
     const bool too_large = ErrorOf(response).m_code == ErrorCode::kRequestTooLarge;
-    return Handle(
-        TargetFailed{action.m_exchange, too_large ? TargetFailure::kResponseTooLarge : TargetFailure::kLost});
+    return Handle(TargetFailed{action.m_exchange, too_large ? TargetFailure::kResponseTooLarge : TargetFailure::kLost});
   }
   m_connections.Release(action.m_endpoint, std::move(ValueOf(connection)));
   Handle(TargetResponded{action.m_exchange, std::move(ValueOf(response))});
--- a/src/daemon/state_follower.cc
+++ b/src/daemon/state_follower.cc
@@ -20,7 +20,10 @@
 }  // namespace
 
 StateFollower::StateFollower(HostId host, std::vector<Endpoint> control_hosts, StateDocument state, OnChange on_change)
-    : m_host(host), m_control_hosts(std::move(control_hosts)), m_state(std::move(state)), m_on_change(std::move(on_change)) {}
+    : m_host(host),
+      m_control_hosts(std::move(control_hosts)),
+      m_state(std::move(state)),
+      m_on_change(std::move(on_change)) {}
 
 void StateFollower::Run() {
   // Hosts start at different control hosts, so that polls are spread.
@@ -35,8 +38,8 @@
 bool StateFollower::Ask(const Endpoint& control_host) {
   const Version from = m_ask_for_snapshot ? Version{} : m_state.m_version;
   HttpRequest request;
-  request.m_path = "/v1/delta?epoch=" + std::to_string(from.m_epoch) + "&generation=" +
-                   std::to_string(from.m_generation) + "&host=" + std::to_string(m_host.m_value);
+  request.m_path = "/v1/delta?epoch=" + std::to_string(from.m_epoch) +
+                   "&generation=" + std::to_string(from.m_generation) + "&host=" + std::to_string(m_host.m_value);
   const auto response = io::HttpExchange(control_host, request, steady_clock::now() + kPollTimeout);
   if (!IsOk(response) || ValueOf(response).m_status != 200) {
     LOG_EVERY_N(WARNING, 50) << "event=state_poll_failed control_host=" << ToString(control_host) << " "
--- a/src/daemon/target_connections.cc
+++ b/src/daemon/target_connections.cc
@@ -7,7 +7,8 @@
 
 using std::chrono::steady_clock;
 
-// Shorter than the idle time after which common servers close, so that a request is not written to a closing connection.
+// Shorter than the idle time after which common servers close, so that a request is not written to a closing
+// connection.
 constexpr std::chrono::seconds kIdleLimit{5};
 constexpr std::size_t kIdlePerTarget = 4;
 
