Repeat the successor notice to balancers that start

Cause: the successor of a stopped balancer announced its duty once. A balancer that started later, the restarted issuer among them, did not know it and answered ids of the former incarnation with outcome unknown. Change: a successor repeats its notices when a member joins or restarts. Conclusion: entries with ids of a balancer that was restarted as planned keep their outcome.

--- a/src/request/engine_handover.cc
+++ b/src/request/engine_handover.cc
@@ -28,6 +28,10 @@
 void RequestEngineState::On(const MemberAlive& event) {
   m_duties.OnMemberAlive(event.m_host, event.m_incarnation);
   if (event.m_host == m_successor) m_successor_alive = true;
+  // A balancer that has just started missed the notices, and its fabric may hand it requests of any issuer.
+  for (const auto& [issuer, incarnation] : m_duties.CompleteDuties()) {
+    m_actions.push_back(AnnounceSuccessor{{issuer, incarnation, m_settings.m_host}});
+  }
 }
 
 void RequestEngineState::On(const MemberDied& event) {
--- a/tests/request_handover_test.cc
+++ b/tests/request_handover_test.cc
@@ -123,6 +123,19 @@
   EXPECT_EQ(Verdict(Only<SendAnswer>(other.Handle(request)).m_response), "unknown 5003");
 }
 
+// Guards against a restarted balancer that answers "unknown" for ids of its former incarnation, because it missed the
+// notice that names the successor.
+TEST(RequestHandoverTest, SuccessorTellsAStartedBalancerOfItsDuty) {
+  HandoverFixture pair;
+  const CallerRequest request = MakeRequest("POST", "/weigh", pair.m_old.NewId());
+  for (const Handover& part : pair.Stop()) (void)pair.Deliver(part);
+  const RequestActions actions = pair.m_new.Handle(MemberAlive{HostId{1}, Incarnation{2}});
+  EngineFixture restarted(2, 2, MakeSettings(1, 2));
+  EXPECT_EQ(Verdict(Only<SendAnswer>(restarted.Handle(request)).m_response), "unknown 5003");
+  (void)restarted.Handle(Only<AnnounceSuccessor>(actions).m_notice);
+  EXPECT_EQ(Only<SendForward>(restarted.Handle(request)).m_host, HostId{2});
+}
+
 // Guards against forged or cut handover messages that crash a balancer or pass as whole ones.
 TEST(RequestHandoverTest, DecoderSurvivesDamage) {
   HandoverFixture pair;
