Send nothing on streams of a former process, and nothing to a starting balancer

Cause: a message written to the stream of a peer that had restarted was lost without an error, and a balancer reported itself healthy before it had any table, so that the fabric handed it packets that it dropped. Change: a link is opened anew when its peer has closed it; health says starting until a balancer has the tables of its own data centre for all services.

--- a/programs/balancer/balancer_http.cc
+++ b/programs/balancer/balancer_http.cc
@@ -11,7 +11,9 @@
 
 using nlohmann::json;
 
-HttpResponse JsonResponse(const json& body) { return {200, {{"Content-Type", "application/json"}}, body.dump(1) + "\n"}; }
+HttpResponse JsonResponse(const json& body) {
+  return {200, {{"Content-Type", "application/json"}}, body.dump(1) + "\n"};
+}
 
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> fields;
@@ -58,9 +60,14 @@
 }
 
 HttpResponse Balancer::Health() const {
-  // The fabric takes a balancer out when this fails: while it leaves, before it has a state, and when it hears nobody.
+  // The fabric takes a balancer out when this fails: while it leaves, before it has a state and tables, and when it
+  // hears nobody.
   const bool isolated = m_control && m_control->IsIsolated();
-  const char* state = !m_control ? "no_state" : m_leaving ? "leaving" : isolated ? "isolated" : "ok";
+  const char* state = !m_control              ? "no_state"
+                      : m_leaving             ? "leaving"
+                      : !m_control->IsReady() ? "starting"
+                      : isolated              ? "isolated"
+                                              : "ok";
   return {std::string_view(state) == "ok" ? 200 : 503, {}, std::string(state) + "\n"};
 }
 
@@ -151,9 +158,8 @@
   m_metrics.AddGauge("fighatch_state_generation", "Generation of the state in force.", {}, [this] {
     return m_follower ? static_cast<double>(m_follower->State().m_version.m_generation) : 0.0;
   });
-  m_metrics.AddGauge("fighatch_requests_in_progress", "Requests in progress on this balancer.", {}, [this] {
-    return m_requests ? static_cast<double>(m_requests->Engine().CallsInProgress()) : 0.0;
-  });
+  m_metrics.AddGauge("fighatch_requests_in_progress", "Requests in progress on this balancer.", {},
+                     [this] { return m_requests ? static_cast<double>(m_requests->Engine().CallsInProgress()) : 0.0; });
   struct RequestRow {
     const char* m_name;
     const char* m_help;
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -66,6 +66,9 @@
   /// Live balancers of the region but this one.
   [[nodiscard]] std::vector<HostId> OtherBalancers() const;
   [[nodiscard]] std::optional<Endpoint> FindEndpoint(HostId host) const;
+  /// True once this balancer has had a table of its data centre for every service of its first state. Before that it
+  /// drops packets, so the fabric must not send it any.
+  [[nodiscard]] bool IsReady() const noexcept { return m_ready; }
   /// True if no other member was heard for the isolation time.
   [[nodiscard]] bool IsIsolated() const;
 
@@ -120,6 +123,7 @@
   void TakeTable(const TableUpdate& update, HostId from);
   void SendAck(const TableKey& key, HostId to);
   void RebuildTables(TimePoint now);
+  [[nodiscard]] bool HasOwnTables() const;
   void UpdateRequestTargets();
   void UpdateDetours();
   [[nodiscard]] std::vector<TargetInfo> AllTargets() const;
@@ -149,6 +153,7 @@
   TimePoint m_next_health_check;
   TimePoint m_next_acks;
   TimePoint m_started;
+  bool m_ready = false;
   bool m_keeper_ready = false;
   bool m_leaving = false;
   bool m_leave_sent = false;
--- a/src/daemon/control_loop_tables.cc
+++ b/src/daemon/control_loop_tables.cc
@@ -63,8 +63,15 @@
   return tables;
 }
 
+bool ControlLoop::HasOwnTables() const {
+  return std::all_of(m_state.m_services.begin(), m_state.m_services.end(), [this](const auto& item) {
+    return m_tables.contains({item.second.m_id, m_options.m_self.m_data_centre});
+  });
+}
+
 void ControlLoop::RebuildTables(TimePoint now) {
   m_tables_changed = false;
+  m_ready = m_ready || HasOwnTables();
   const std::vector<OwnerTable> tables = Tables();
   const std::vector<TargetInfo> targets = AllTargets();
   const std::vector<Member> members = m_membership.AllMembers();
--- a/src/daemon/peer_links.cc
+++ b/src/daemon/peer_links.cc
@@ -136,7 +136,8 @@
 }
 
 bool PeerLinks::SendOn(HostId host, std::optional<io::MessageStream>* stream, const Outgoing& message) {
-  if (!*stream || !(*stream)->IsOpen()) {
+  // A restarted peer has closed the stream of its former process; the first message on it would be lost.
+  if (!*stream || !(*stream)->IsOpen() || (*stream)->HasPeerClosed()) {
     stream->reset();
     const std::optional<Endpoint> endpoint = m_directory.m_find(host);
     if (!endpoint) return false;
--- a/src/io/message_socket.h
+++ b/src/io/message_socket.h
@@ -75,6 +75,8 @@
   /// The peer's host id as of its last accepted message.
   [[nodiscard]] HostId Peer() const noexcept { return m_peer; }
   [[nodiscard]] bool IsOpen() const noexcept { return m_stream.IsOpen(); }
+  /// True if the peer has closed the connection: what is written to it then is lost without an error.
+  [[nodiscard]] bool HasPeerClosed() const noexcept { return m_stream.HasPeerClosed(); }
   void Close() noexcept { m_stream.Close(); }
 
  private:
--- a/src/io/tcp_stream.cc
+++ b/src/io/tcp_stream.cc
@@ -43,6 +43,12 @@
   return TcpStream(std::move(fd));
 }
 
+bool TcpStream::HasPeerClosed() const noexcept {
+  char byte = 0;
+  const ssize_t count = recv(m_fd.Get(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 Result<std::size_t> TcpStream::ReadSome(std::span<std::byte> buffer, Deadline deadline) {
   for (;;) {
     const ssize_t count = recv(m_fd.Get(), buffer.data(), buffer.size(), 0);
--- a/src/io/tcp_stream.h
+++ b/src/io/tcp_stream.h
@@ -24,6 +24,8 @@
 
   [[nodiscard]] bool IsOpen() const noexcept { return m_fd.IsOpen(); }
   [[nodiscard]] int Fd() const noexcept { return m_fd.Get(); }
+  /// True if the peer has closed or reset the connection and no byte of it is left to read.
+  [[nodiscard]] bool HasPeerClosed() const noexcept;
   void Close() noexcept { m_fd.Close(); }
 
   /// Reads what is there, at least one byte; 0 means that the peer closed. Errors: `kIoSocket`, `kIoTimeout`.
--- a/tests/io_test.cc
+++ b/tests/io_test.cc
@@ -42,6 +42,21 @@
   busy.join();
 }
 
+// Guards against writing to the stream of a peer that has restarted: the first message on it is lost without an error.
+TEST(TcpStreamTest, NoticesThatThePeerHasClosed) {
+  Reactor reactor;
+  Result<TcpListener> listener = TcpListener::Listen(Loopback());
+  ASSERT_TRUE(IsOk(listener));
+  Result<TcpStream> client = TcpStream::Connect(ValueOf(listener).Local(), Soon());
+  ASSERT_TRUE(IsOk(client));
+  Result<TcpStream> server = ValueOf(listener).Accept(Soon());
+  ASSERT_TRUE(IsOk(server));
+  EXPECT_FALSE(ValueOf(client).HasPeerClosed());
+  ValueOf(server).Close();
+  EXPECT_TRUE(Reactor::WaitReadable(ValueOf(client).Fd(), Soon()));
+  EXPECT_TRUE(ValueOf(client).HasPeerClosed());
+}
+
 // Guards against a frame length from the network that makes the reader allocate without limit.
 TEST(TcpStreamTest, RefusesAFrameAboveTheLimit) {
   Reactor reactor;
