Report the error codes of unanswered requests in the load tool

Change: the report counts them by error code, and the scenarios print them. Conclusion: refusals can be traced to their cause.

--- a/programs/load/report.cc
+++ b/programs/load/report.cc
@@ -36,6 +36,7 @@
   nlohmann::json object = {{"service", report.m_service}, {"kind", report.m_kind}};
   for (const CounterRow& row : kCounters) object[row.m_name] = report.*row.m_value;
   object["broken_by_target"] = report.m_broken_by_target;
+  object["codes"] = report.m_codes;
   object["not_run_keys"] = report.m_not_run_keys;
   object["latency_us"] = {{"p50", report.m_latency.Quantile(0.5).count()},
                           {"p99", report.m_latency.Quantile(0.99).count()},
--- a/programs/load/report.h
+++ b/programs/load/report.h
@@ -42,6 +42,8 @@
   std::uint64_t m_entries_completed = 0;
   /// Broken flows by the target that served them; the name is empty if no segment was answered yet.
   std::map<std::string, std::uint64_t> m_broken_by_target;
+  /// Requests that were not answered by a target, by the number of the error.
+  std::map<std::string, std::uint64_t> m_codes;
   /// Idempotency keys of entries that were answered "not run".
   std::vector<std::string> m_not_run_keys;
   /// From the intended start, so that a stalled tool does not hide latency (coordinated omission).
--- a/programs/load/request_callers.cc
+++ b/programs/load/request_callers.cc
@@ -124,6 +124,9 @@
   if (!next_id.empty() && m_spare_ids.size() < kMaxSpareIds) m_spare_ids.push_back({next_id, now});
   const std::string_view outcome = FindHeader(response.m_headers, "Fighatch-Outcome").value_or("");
   const bool is_good = outcome == "answered" && response.m_status < 300;
+  if (outcome != "answered") {
+    ++m_report.m_codes[std::string(FindHeader(response.m_headers, "Fighatch-Code").value_or(""))];
+  }
   if (outcome == "not-run") {
     ++m_report.m_not_run;
     const auto key = FindHeader(pending.m_request.m_headers, "Idempotency-Key");
--- a/scripts/lib/scenario_run.py
+++ b/scripts/lib/scenario_run.py
@@ -168,7 +168,7 @@
         """What no fault excuses."""
         print(json.dumps({"broken_by_target": flows["broken_by_target"], "fabric": [
             change[1:] for change in self.fabric_health.changes], "not_run": requests["not_run"],
-            "unknown": requests["unknown"], "no_answer": requests["no_answer"],
+            "unknown": requests["unknown"], "no_answer": requests["no_answer"], "codes": requests["codes"],
             "flows": flows["started"], "requests": requests["started"]}), flush=True)
         self.emit("wrong_segments", flows["wrong_answers"], "segments", 0)
         self.emit("wrong_or_truncated_answers", requests["wrong_answers"] + requests["truncated_answers"], "answers", 0)
