--- a/scripts/lib/scenarios.py
+++ b/scripts/lib/scenarios.py
@@ -12,8 +12,6 @@
 import deployment
 from scenario_run import Scenario, VersionWatch, state_generation, table_versions
 
-MOVED = "north"
-
 
 def answered_share(requests, entries):
     started, completed = requests["entries_started"], requests["entries_completed"]
@@ -33,21 +31,22 @@
         run = scenario.run
         scenario.start_load(20)
         time.sleep(3)
-        moved = scenario.targets(run.user["flow"], MOVED)
+        name = run.data_centres[0]
+        moved = scenario.targets(run.user["flow"], name)
         ticket_time = time.monotonic()
-        run.ctl("out", MOVED)
+        run.ctl("out", name)
         time.sleep(max(0, ticket_time + 3 - time.monotonic()))
         at_3s = [run.stats(target)["packets"] for target in moved]
-        requests_at_3s = [run.stats(target)["requests"] for target in scenario.targets(run.user["request"], MOVED)]
+        requests_at_3s = [run.stats(target)["requests"] for target in scenario.targets(run.user["request"], name)]
         time.sleep(max(0, ticket_time + 10 - time.monotonic()))
         late = sum(run.stats(target)["packets"] for target in moved) - sum(at_3s)
         late_requests = sum(run.stats(target)["requests"]
-                            for target in scenario.targets(run.user["request"], MOVED)) - sum(requests_at_3s)
-        run.ctl("in", MOVED)
+                            for target in scenario.targets(run.user["request"], name)) - sum(requests_at_3s)
+        run.ctl("in", name)
         flows, requests = scenario.finish_load()
         scenario.emit("packets_3s_after_out", late, "packets", 0)
         scenario.emit("requests_3s_after_out", late_requests, "requests", 0)
-        scenario.emit("broken_in_other_data_centres", scenario.broken_outside(flows, MOVED), "flows", 0)
+        scenario.emit("broken_in_other_data_centres", scenario.broken_outside(flows, name), "flows", 0)
         scenario.emit("failed_to_open", flows["failed_to_open"], "flows", 0)
         scenario.emit("lookups_answered", answered_share(requests, False), "share", 0.99, at_least=True)
         scenario.emit("entries_answered", answered_share(requests, True), "share", 0.99, at_least=True)
@@ -181,7 +180,7 @@
         watch.start()
         scenario.start_load(20)
         time.sleep(3)
-        frozen = [index for index in run.balancer_numbers if run.data_centre_of_balancer(index) == MOVED]
+        frozen = [index for index in run.balancer_numbers if run.data_centre_of_balancer(index) == run.data_centres[0]]
         for index in frozen:
             run.balancers[index].child.send_signal(signal.SIGSTOP)
         try:
@@ -198,7 +197,7 @@
         watch.stop()
         scenario.emit("versions_gone_down", len(watch.reverts), "versions", 0)
         scenario.emit("agreement_after_return", agreed, "s", 5)
-        scenario.emit("broken_in_other_data_centres", scenario.broken_outside(flows, MOVED), "flows", 0)
+        scenario.emit("broken_in_other_data_centres", scenario.broken_outside(flows, run.data_centres[0]), "flows", 0)
         scenario.emit_common(flows, requests)
         return scenario
 
