Draw callers from a prefix that holds no service address

Cause: callers came from 203.0.113.0/24, which holds the service addresses of the head office. The fabric sent the packets of callers to callers, and no flow of the head office opened. Change: callers come from 192.0.2.0/24.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -16,7 +16,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")).resolve()
-CALLER_BASE = "203.0.113.0"
+# Apart from the service addresses of both users, which the fabric must route to balancers.
+CALLER_BASE = "192.0.2.0"
 
 USERS = {
     "agency": {"ticket": "examples/tickets/agency.json", "request": "crate-desk", "flow": "ledger-house"},
