--- a/programs/balancer/balancer_http.cc
+++ b/programs/balancer/balancer_http.cc
@@ -60,9 +60,14 @@
 }
 
 HttpResponse Balancer::Health() const {
-  // The fabric takes a balancer out when this fails: while it leaves, before it has a state, and when it hears nobody.
+  // The fabric takes a balancer out when this fails: while it leaves, before it has a state and tables, and when it
+  // hears nobody.
   const bool isolated = m_control && m_control->IsIsolated();
-  const char* state = !m_control ? "no_state" : m_leaving ? "leaving" : isolated ? "isolated" : "ok";
+  const char* state = !m_control              ? "no_state"
+                      : m_leaving             ? "leaving"
+                      : !m_control->IsReady() ? "starting"
+                      : isolated              ? "isolated"
+                                              : "ok";
   return {std::string_view(state) == "ok" ? 200 : 503, {}, std::string(state) + "\n"};
 }
 
--- a/programs/load/flow_callers.cc
+++ b/programs/load/flow_callers.cc
@@ -133,6 +133,7 @@
     flow.m_acknowledgement = tcp.m_sequence + 1;
     ++m_report.m_established;
     m_report.m_latency.Add(now - flow.m_intended);
+    if (!packet.m_payload.empty()) CheckTarget(flow, packet);
     SendNew(id, flow, now);
     return true;
   }
@@ -180,6 +181,7 @@
   } else {
     ++TimelineAt(m_report, now - m_start).m_bad;
     ++(was_established ? m_report.m_broken : m_report.m_failed_to_open);
+    if (was_established) ++m_report.m_broken_by_target[flow.m_target];
   }
   m_flows.erase(found);
 }
--- a/programs/target/target.cc
+++ b/programs/target/target.cc
@@ -114,6 +114,9 @@
   if (request.m_path == "/health") return {m_state == TargetState::kServing ? 200 : 503, {}, "\n"};
   if (request.m_path == "/load") return {200, {{"Content-Type", "application/json"}}, LoadJson()};
   if (request.m_path == "/v1/stats") return {200, {{"Content-Type", "application/json"}}, StatsJson()};
+  if (request.m_path == "/v1/records") {
+    return {200, {{"Content-Type", "application/json"}}, nlohmann::json(m_records.Records()).dump()};
+  }
   constexpr std::string_view kControl = "/v1/control/";
   if (request.m_method == "POST" && request.m_path.starts_with(kControl)) {
     return HandleControl(request.m_path.substr(kControl.size()));
