Refresh the second keeper's copies of active flow records

Cause: only the keeper that serves a flow sees its packets, so the second keeper's copy of the record expired after the idle limit under an active flow; when the first keeper left, the flow moved to the base owner. Change: each keeper sends the records of flows that were active in the last third of the idle limit to the other keepers, once per third, in the rate-limited bulk transfer. Ruled out: a time of the last refresh in each record, which would lift a held flow from 50 to 67 bytes (bound 64).

--- a/include/fighatch/flow_decider.h
+++ b/include/fighatch/flow_decider.h
@@ -133,6 +133,9 @@
   void StartScan(const std::shared_ptr<const ForwardingTable>& former);
   void Scan();
   void FinishScan();
+  /// Sends the records of active flows to their other keepers again. Only the keeper that serves a flow sees its
+  /// packets, so without this the copies would expire under it.
+  void RefreshCopies(TimePoint now);
   void TransferRecord(const FlowRecord& record, bool same_ranks);
   [[nodiscard]] bool IsExpired(const FlowRecord& record, std::uint32_t tick) const noexcept;
 
@@ -154,6 +157,8 @@
   std::shared_ptr<const ForwardingTable> m_scan_base;
   std::size_t m_scan_position = 0;
   bool m_is_scanning = false;
+  std::size_t m_refresh_position = 0;
+  TimePoint m_refresh_started;
   std::map<ServiceId, TimePoint> m_changed;
   std::map<std::pair<ServiceId, DataCentreId>, TimePoint> m_not_current;
   /// Transfers of other balancers to this one that are finished.
--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -8,6 +8,8 @@
 
 /// Positions of the record table that one `Tick` visits: a million positions take 2.5 s at one tick each 10 ms.
 constexpr std::size_t kPositionsInTick = 4096;
+/// A copy that misses one refresh is still there at the next.
+constexpr int kRefreshesInIdleLimit = 3;
 /// First packets older than this are not recorded: a caller has sent its second retransmission by then.
 constexpr std::uint32_t kRecentTicks = FlowTicks(std::chrono::seconds(4));
 /// Records of settled slots stay this long, for balancers that still use an older table.
@@ -153,10 +155,29 @@
     const std::uint32_t tick = FlowTick(now);
     m_records.Sweep(std::min(kPositionsInTick, m_records.Positions()),
                     [this, tick](const FlowRecord& record) { return IsExpired(record, tick); });
+    RefreshCopies(now);
   }
   return m_transfer.Tick(now);
 }
 
+void FlowDecider::RefreshCopies(TimePoint now) {
+  const Duration period = m_options.m_idle_limit / kRefreshesInIdleLimit;
+  if (m_refresh_position == 0) {
+    if (now - m_refresh_started < period) return;
+    m_refresh_started = now;
+  }
+  const std::uint32_t tick = FlowTick(now);
+  const std::size_t end = std::min(m_refresh_position + kPositionsInTick, m_records.Positions());
+  for (; m_refresh_position < end; ++m_refresh_position) {
+    const FlowRecord* record = m_records.At(m_refresh_position);
+    if (record == nullptr || tick - std::min(tick, record->m_last_seen) > FlowTicks(period)) continue;
+    for (const HostId host : HoldersBy(*m_table, *record, true)) {
+      if (host != m_table->Self()) m_transfer.QueueBulk(host, *record);
+    }
+  }
+  if (m_refresh_position == m_records.Positions()) m_refresh_position = 0;
+}
+
 bool FlowDecider::IsExpired(const FlowRecord& record, std::uint32_t tick) const noexcept {
   const std::uint32_t idle = tick - std::min(tick, record.m_last_seen);
   if (idle > FlowTicks(m_options.m_idle_limit)) return true;
