Name the data centres of a deployment as its ticket does

Cause: scripts/lib/deployment.py used the data centres of the agency for both users, so that the balancers of the head office stood in data centres that its ticket does not name; its callers shared a network with its services. Change: the names come from the ticket; callers have addresses in 192.0.2.0/24.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -16,8 +16,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")).resolve()
-DATA_CENTRES = ["north", "middle", "south"]
-CALLER_BASE = "203.0.113.0"
+# Not the network of any service in examples/tickets: the fabric sends packets for it to callers.
+CALLER_BASE = "192.0.2.0"
 
 USERS = {
     "agency": {"ticket": "examples/tickets/agency.json", "request": "crate-desk", "flow": "ledger-house"},
@@ -93,6 +93,7 @@
         self.warm_up_ms = warm_up_ms
         self.trace = trace
         self.ticket = json.loads(strip_comments((ROOT / self.user["ticket"]).read_text()))
+        self.data_centres = [data_centre["name"] for data_centre in self.ticket["data_centres"]]
         self.addresses = {service["name"]: service["addresses"] for service in self.ticket["services"]}
         self.keys = {kind: self._write_key(kind) for kind in ("cluster", "operator", "target")}
         self.fabric_endpoint = f"{self._ip(4, 1)}:6080"
@@ -125,7 +126,7 @@
                   "http": f"{self._ip(3, 1 + other)}:7400"} for other in self.control_numbers]
         settings = {
             "host": 101 + index,
-            "data_centre": DATA_CENTRES[index],
+            "data_centre": self.data_centres[index % len(self.data_centres)],
             "data_folder": str(self.folder / f"control{index}"),
             "operator_key_file": self.keys["operator"],
             "control_hosts": hosts,
@@ -139,7 +140,7 @@
         return f"{self._ip(1, 1 + index)}:6080"
 
     def data_centre_of_balancer(self, index):
-        return DATA_CENTRES[index % len(DATA_CENTRES)]
+        return self.data_centres[index % len(self.data_centres)]
 
     def _make_balancer(self, index):
         folder = self.folder / f"balancer{index}"
@@ -172,7 +173,7 @@
         return Process("fabric", "fighatch-fabric", settings, self.folder)
 
     def make_target(self, service, index, number):
-        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        data_centre = self.data_centres[index % len(self.data_centres)]
         announce_to = [self.balancer_http(other) for other in self.balancer_numbers
                        if self.data_centre_of_balancer(other) == data_centre]
         settings = {
