Add fighatchctl explain

Cause: the design lists explain, but the tool had no such command. Exit code 7 says that a balancer drops or resets the flow or that balancers name different targets; 3 that one did not answer. Conclusion: an operator sees where a flow goes on each balancer.

--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -9,6 +9,7 @@
 #include "config/json_reader.h"
 #include "control_client.h"
 #include "daemon/operator_key.h"
+#include "explain.h"
 #include "fighatch/ticket.h"
 #include "state/state_json.h"
 
@@ -298,6 +299,7 @@
     Command{"drain", "SERVICE DC", 2, Drain, "set the weight of a service in a data centre to 0"},
     Command{"out", "DC", 1, Out, "take a data centre out"},
     Command{"in", "DC", 1, In, "bring a data centre back in"},
+    Command{"explain", "FLOW", 1, Explain, "ask each balancer where TRANSPORT/SOURCE/DESTINATION goes and why"},
     Command{"watch", "", 0, Watch, "print the versions in force whenever they change"},
 };
 
@@ -321,7 +323,8 @@
   }
   return text +
          "\nExit codes: 0 done, 1 wrong use or unreadable file, 2 ticket refused, 3 no answer before the deadline,\n"
-         "  4 accepted but not in force everywhere, 5 no such ticket, 6 the file differs from the state\n";
+         "  4 accepted but not in force everywhere, 5 no such ticket, 6 the file differs from the state,\n"
+         "  7 a balancer drops or resets the flow, or balancers name different targets\n";
 }
 
 }  // namespace fighatch::ctl
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -25,6 +25,8 @@
   kNotFound = 5,
   /// The file differs from the state.
   kDifferent = 6,
+  /// `explain`: a balancer drops or resets the flow, or balancers name different targets.
+  kNotServed = 7,
 };
 
 /// The command line.
@@ -32,6 +34,8 @@
   std::string m_command;
   std::vector<std::string> m_arguments;
   std::vector<Endpoint> m_control_hosts;
+  /// HTTP endpoints of the balancers that `explain` asks.
+  std::vector<Endpoint> m_balancers;
   std::string m_key_file;
   std::string m_author;
   std::uint64_t m_number = 0;
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -29,6 +29,8 @@
   options.positional_help("COMMAND [ARGUMENT...]");
   options.add_options()("config", "settings file (JSON with comments)", cxxopts::value<std::string>())(
       "control", "HTTP endpoints of the control hosts, separated by commas",
+      cxxopts::value<std::vector<std::string>>())(
+      "balancers", "HTTP endpoints of the balancers for explain, separated by commas",
       cxxopts::value<std::vector<std::string>>())("key", "operator key file", cxxopts::value<std::string>())(
       "author", "author of generated tickets", cxxopts::value<std::string>())(
       "number", "number of a generated ticket; default: one above the highest in force",
@@ -49,25 +51,35 @@
   if (!IsOk(json)) return ErrorOf(json);
   fighatch::config::ObjectReader reader(ValueOf(json), "");
   reader.OptionalEndpointList("control_hosts", &line->m_control_hosts);
+  reader.OptionalEndpointList("balancers", &line->m_balancers);
   reader.OptionalText("operator_key_file", &line->m_key_file);
   reader.OptionalText("author", &line->m_author);
   reader.OptionalMilliseconds("deadline_ms", std::chrono::milliseconds(1), std::chrono::hours(1), &line->m_deadline);
   return reader.Finish();
 }
 
+// An option that is given replaces the list of the settings file.
+fighatch::Status ReadEndpoints(const cxxopts::ParseResult& parsed, const std::string& option,
+                               std::vector<fighatch::Endpoint>* out) {
+  if (parsed.count(option) == 0) return fighatch::OkStatus();
+  out->clear();
+  for (const std::string& text : parsed[option].as<std::vector<std::string>>()) {
+    const auto endpoint = fighatch::ParseEndpoint(text);
+    if (!IsOk(endpoint)) return ErrorOf(endpoint);
+    out->push_back(ValueOf(endpoint));
+  }
+  return fighatch::OkStatus();
+}
+
 fighatch::Status ReadOptions(const cxxopts::ParseResult& parsed, CommandLine* line) {
   if (parsed.count("config") > 0) {
     fighatch::Status status = ReadSettings(parsed["config"].as<std::string>(), line);
     if (!IsOk(status)) return status;
   }
-  if (parsed.count("control") > 0) {
-    line->m_control_hosts.clear();
-    for (const std::string& text : parsed["control"].as<std::vector<std::string>>()) {
-      const auto endpoint = fighatch::ParseEndpoint(text);
-      if (!IsOk(endpoint)) return ErrorOf(endpoint);
-      line->m_control_hosts.push_back(ValueOf(endpoint));
-    }
-  }
+  fighatch::Status status = ReadEndpoints(parsed, "control", &line->m_control_hosts);
+  if (!IsOk(status)) return status;
+  status = ReadEndpoints(parsed, "balancers", &line->m_balancers);
+  if (!IsOk(status)) return status;
   if (parsed.count("key") > 0) line->m_key_file = parsed["key"].as<std::string>();
   if (parsed.count("author") > 0) line->m_author = parsed["author"].as<std::string>();
   if (parsed.count("number") > 0) line->m_number = parsed["number"].as<std::uint64_t>();
@@ -93,7 +105,10 @@
   if (!IsOk(status)) return Fail(ToString(ErrorOf(status)));
   if (parsed.count("check-config") > 0) return std::cout << "settings are valid\n", 0;
   if (line.m_command.empty()) return Fail("no command; see --help");
-  if (line.m_control_hosts.empty()) return Fail("name the control hosts with --control or --config");
+  const bool asks_control_hosts = line.m_command != "explain";
+  if (asks_control_hosts && line.m_control_hosts.empty()) {
+    return Fail("name the control hosts with --control or --config");
+  }
   const fighatch::io::Reactor reactor;
   return static_cast<int>(fighatch::ctl::RunCommand(line));
 }
