Let fighatchctl watch show every balancer

Change: watch asks all control hosts and takes the newest report of each balancer. Conclusion: the line names every balancer that reports.

--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/fiber/operations.hpp>
 #include <iostream>
+#include <map>
 #include <string_view>
 
 #include "config/json_reader.h"
@@ -262,21 +263,35 @@
   return SubmitObject(line, ValueOf(state), "services", changed);
 }
 
+// The versions in force as the balancers reported them last. Each balancer reports to one control host at a time.
+std::map<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>> VersionsInForce(const ControlClient& client) {
+  std::map<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>> versions;
+  for (const json& answer : client.GetFromAll("/v1/hosts")) {
+    for (const json& host : answer.value("balancers", json::array())) {
+      auto& version = versions[host.value("host", 0U)];
+      version = std::max(version, {host.value("epoch", std::uint64_t{0}), host.value("generation", std::uint64_t{0})});
+    }
+  }
+  return versions;
+}
+
+std::string WatchLine(const CommandLine& line) {
+  const Result<json> health = MakeClient(line).Get("/v1/health");
+  if (!IsOk(health)) return "no control host answers";
+  const json& state = ValueOf(health);
+  std::string text = "version " + std::to_string(state.value("epoch", 0ULL)) + "." +
+                     std::to_string(state.value("generation", 0ULL)) + " leader " +
+                     std::to_string(state.value("leader", 0U));
+  for (const auto& [host, version] : VersionsInForce(MakeClient(line))) {
+    text += " host" + std::to_string(host) + "=" + std::to_string(version.first) + "." + std::to_string(version.second);
+  }
+  return text;
+}
+
 ExitCode Watch(const CommandLine& line) {
   std::string last;
   for (;;) {
-    const Result<json> hosts = MakeClient(line).Get("/v1/hosts");
-    const Result<json> health = MakeClient(line).Get("/v1/health");
-    std::string text = "no control host answers";
-    if (IsOk(hosts) && IsOk(health)) {
-      const json& state = ValueOf(health);
-      text = "version " + std::to_string(state.value("epoch", 0ULL)) + "." +
-             std::to_string(state.value("generation", 0ULL)) + " leader " + std::to_string(state.value("leader", 0U));
-      for (const json& host : ValueOf(hosts).value("balancers", json::array())) {
-        text += " host" + std::to_string(host.value("host", 0U)) + "=" + std::to_string(host.value("epoch", 0ULL)) +
-                "." + std::to_string(host.value("generation", 0ULL));
-      }
-    }
+    const std::string text = WatchLine(line);
     if (text != last) std::cout << (line.m_json ? json{{"status", text}}.dump() : text) << std::endl;
     last = text;
     boost::this_fiber::sleep_for(kWatchInterval);
--- a/programs/ctl/control_client.cc
+++ b/programs/ctl/control_client.cc
@@ -66,6 +66,15 @@
   return ExchangeUntil({"GET", path, {}, ""}, [](const json&) { return true; });
 }
 
+std::vector<json> ControlClient::GetFromAll(const std::string& path) const {
+  std::vector<json> answers;
+  for (const Endpoint& host : m_control_hosts) {
+    Result<json> answer = Exchange(host, {"GET", path, {}, ""});
+    if (IsOk(answer)) answers.push_back(std::move(ValueOf(answer)));
+  }
+  return answers;
+}
+
 TicketPlaces ControlClient::FindTicket(TicketNumber number) {
   TicketPlaces places;
   std::set<std::uint32_t> in_force;
--- a/programs/ctl/control_client.h
+++ b/programs/ctl/control_client.h
@@ -42,6 +42,9 @@
   /// Gets a JSON document from the first control host that answers. Errors: `kIoTimeout`.
   [[nodiscard]] Result<nlohmann::json> Get(const std::string& path);
 
+  /// Gets a JSON document from every control host; those that do not answer are left out.
+  [[nodiscard]] std::vector<nlohmann::json> GetFromAll(const std::string& path) const;
+
   /// Asks every control host where the ticket is in force.
   [[nodiscard]] TicketPlaces FindTicket(TicketNumber number);
 
