Wait for the reports of balancers whose control host is silent

Change: while a control host is silent apply waits 4 s, above the 2.5 s poll timeout of a balancer, for such reports. Conclusion: "in force" covers the balancers of a lost control host, if the others answer in time.

--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -23,6 +23,8 @@
 
 constexpr std::chrono::milliseconds kPollInterval{50};
 constexpr std::chrono::milliseconds kWatchInterval{1000};
+// Balancers that reported to a control host that is now silent report to another one within this time.
+constexpr std::chrono::milliseconds kReportsMove{4000};
 
 ControlClient MakeClient(const CommandLine& line) {
   return {line.m_control_hosts, steady_clock::now() + line.m_deadline};
@@ -83,8 +85,12 @@
 }
 
 ExitCode WaitInForce(const CommandLine& line, ControlClient* client, TicketNumber number) {
+  const auto reports_complete = steady_clock::now() + kReportsMove;
   TicketPlaces places = client->FindTicket(number);
-  while (!places.m_not_in_force.empty() && !client->IsPastDeadline()) {
+  const auto may_change = [&] {
+    return !places.m_not_in_force.empty() || (!places.m_silent.empty() && steady_clock::now() < reports_complete);
+  };
+  while (may_change() && !client->IsPastDeadline()) {
     boost::this_fiber::sleep_for(kPollInterval);
     TicketPlaces newer = client->FindTicket(number);
     if (newer.m_accepted) places = std::move(newer);
