--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -129,6 +129,7 @@
             "data_centre": self.data_centres[index % len(self.data_centres)],
             "data_folder": str(self.folder / f"control{index}"),
             "operator_key_file": self.keys["operator"],
+            "cluster_keys": [{"id": 1, "file": self.keys["cluster"]}],
             "control_hosts": hosts,
         }
         return Process(f"control{index}", "fighatch-control", settings, self.folder)
