Give the example control hosts cluster keys

Cause: control hosts now seal their messages; the example deployments, the roll of a key and the check of the examples did not know of it.

--- a/scripts/lib/example_deployment.py
+++ b/scripts/lib/example_deployment.py
@@ -35,7 +35,8 @@
     for index in range(CONTROL_HOSTS):
         files[f"control-{1 + index}"] = {
             "host": 101 + index, "data_centre": site(index), "data_folder": f"data/control-{1 + index}",
-            "operator_key_file": "keys/operator.key", "control_hosts": control}
+            "operator_key_file": "keys/operator.key", "cluster_keys": [{"id": 1, "file": "keys/cluster-1.key"}],
+            "control_hosts": control}
     for index in range(BALANCERS):
         seeds = [f"{address(1, 1 + other)}:7402" for other in range(BALANCERS) if other != index]
         files[f"balancer-{1 + index}"] = {
