--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -4,11 +4,13 @@
 #include <array>
 #include <boost/fiber/operations.hpp>
 #include <iostream>
+#include <map>
 #include <string_view>
 
 #include "config/json_reader.h"
 #include "control_client.h"
 #include "daemon/operator_key.h"
+#include "explain.h"
 #include "fighatch/ticket.h"
 #include "state/state_json.h"
 
@@ -21,6 +23,8 @@
 
 constexpr std::chrono::milliseconds kPollInterval{50};
 constexpr std::chrono::milliseconds kWatchInterval{1000};
+// Balancers that reported to a control host that is now silent report to another one within this time.
+constexpr std::chrono::milliseconds kReportsMove{4000};
 
 ControlClient MakeClient(const CommandLine& line) {
   return {line.m_control_hosts, steady_clock::now() + line.m_deadline};
@@ -81,8 +85,12 @@
 }
 
 ExitCode WaitInForce(const CommandLine& line, ControlClient* client, TicketNumber number) {
+  const auto reports_complete = steady_clock::now() + kReportsMove;
   TicketPlaces places = client->FindTicket(number);
-  while (!places.m_not_in_force.empty() && !client->IsPastDeadline()) {
+  const auto may_change = [&] {
+    return !places.m_not_in_force.empty() || (!places.m_silent.empty() && steady_clock::now() < reports_complete);
+  };
+  while (may_change() && !client->IsPastDeadline()) {
     boost::this_fiber::sleep_for(kPollInterval);
     TicketPlaces newer = client->FindTicket(number);
     if (newer.m_accepted) places = std::move(newer);
@@ -261,21 +269,35 @@
   return SubmitObject(line, ValueOf(state), "services", changed);
 }
 
+// The versions in force as the balancers reported them last. Each balancer reports to one control host at a time.
+std::map<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>> VersionsInForce(const ControlClient& client) {
+  std::map<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>> versions;
+  for (const json& answer : client.GetFromAll("/v1/hosts")) {
+    for (const json& host : answer.value("balancers", json::array())) {
+      auto& version = versions[host.value("host", 0U)];
+      version = std::max(version, {host.value("epoch", std::uint64_t{0}), host.value("generation", std::uint64_t{0})});
+    }
+  }
+  return versions;
+}
+
+std::string WatchLine(const CommandLine& line) {
+  const Result<json> health = MakeClient(line).Get("/v1/health");
+  if (!IsOk(health)) return "no control host answers";
+  const json& state = ValueOf(health);
+  std::string text = "version " + std::to_string(state.value("epoch", 0ULL)) + "." +
+                     std::to_string(state.value("generation", 0ULL)) + " leader " +
+                     std::to_string(state.value("leader", 0U));
+  for (const auto& [host, version] : VersionsInForce(MakeClient(line))) {
+    text += " host" + std::to_string(host) + "=" + std::to_string(version.first) + "." + std::to_string(version.second);
+  }
+  return text;
+}
+
 ExitCode Watch(const CommandLine& line) {
   std::string last;
   for (;;) {
-    const Result<json> hosts = MakeClient(line).Get("/v1/hosts");
-    const Result<json> health = MakeClient(line).Get("/v1/health");
-    std::string text = "no control host answers";
-    if (IsOk(hosts) && IsOk(health)) {
-      const json& state = ValueOf(health);
-      text = "version " + std::to_string(state.value("epoch", 0ULL)) + "." +
-             std::to_string(state.value("generation", 0ULL)) + " leader " + std::to_string(state.value("leader", 0U));
-      for (const json& host : ValueOf(hosts).value("balancers", json::array())) {
-        text += " host" + std::to_string(host.value("host", 0U)) + "=" + std::to_string(host.value("epoch", 0ULL)) +
-                "." + std::to_string(host.value("generation", 0ULL));
-      }
-    }
+    const std::string text = WatchLine(line);
     if (text != last) std::cout << (line.m_json ? json{{"status", text}}.dump() : text) << std::endl;
     last = text;
     boost::this_fiber::sleep_for(kWatchInterval);
@@ -298,6 +320,7 @@
     Command{"drain", "SERVICE DC", 2, Drain, "set the weight of a service in a data centre to 0"},
     Command{"out", "DC", 1, Out, "take a data centre out"},
     Command{"in", "DC", 1, In, "bring a data centre back in"},
+    Command{"explain", "FLOW", 1, Explain, "ask each balancer where TRANSPORT/SOURCE/DESTINATION goes and why"},
     Command{"watch", "", 0, Watch, "print the versions in force whenever they change"},
 };
 
@@ -321,7 +344,8 @@
   }
   return text +
          "\nExit codes: 0 done, 1 wrong use or unreadable file, 2 ticket refused, 3 no answer before the deadline,\n"
-         "  4 accepted but not in force everywhere, 5 no such ticket, 6 the file differs from the state\n";
+         "  4 accepted but not in force everywhere, 5 no such ticket, 6 the file differs from the state,\n"
+         "  7 a balancer drops or resets the flow, or balancers name different targets\n";
 }
 
 }  // namespace fighatch::ctl
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -16,7 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")).resolve()
-# Apart from the service addresses of both users, which the fabric must route to balancers.
+# Not the network of any service in examples/tickets: the fabric sends packets for it to callers.
 CALLER_BASE = "192.0.2.0"
 
 USERS = {
