Complete the umbrella header and silence two false lint reports

Change: regenerated headers, two NOLINT marks as elsewhere. Conclusion: header test and linter hold.

--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -47,6 +47,7 @@
 #include "fighatch/raft_node.h"
 #include "fighatch/ramp.h"
 #include "fighatch/random.h"
+#include "fighatch/recent_flows.h"
 #include "fighatch/record_transfer.h"
 #include "fighatch/replay_window.h"
 #include "fighatch/request_action.h"
--- a/include/fighatch/forward.h
+++ b/include/fighatch/forward.h
@@ -124,6 +124,7 @@
 class Ramp;
 class Random;
 struct ReceiverActions;
+class RecentFlows;
 struct RecordSend;
 class RecordTransfer;
 struct RecordTransferOptions;
--- a/include/fighatch/raft_message.h
+++ b/include/fighatch/raft_message.h
@@ -30,7 +30,7 @@
   HostId m_host;
   DiskId m_disk;
 
-  friend auto operator<=>(const RaftPeer&, const RaftPeer&) = default;
+  friend auto operator<=>(const RaftPeer&, const RaftPeer&) = default;  // NOLINT(modernize-use-nullptr)
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/include/fighatch/state_document.h
+++ b/include/fighatch/state_document.h
@@ -36,7 +36,7 @@
   Endpoint m_endpoint;
   Transport m_transport = Transport::kTcp;
 
-  friend auto operator<=>(const ServiceAddress&, const ServiceAddress&) = default;
+  friend auto operator<=>(const ServiceAddress&, const ServiceAddress&) = default;  // NOLINT(modernize-use-nullptr)
 
   template <typename Archive>
   void serialize(Archive& archive) {
