Refuse a repeated grant time that was never given out

Cause: fuzzing (scripts/fuzz, lease_message_fuzz) multiplied the milliseconds of a lease request into nanoseconds and overflowed; a wrapped value could count as a fresh vouch. Change: a time after the grantor's own is ignored before it is converted.

--- a/src/target/allowance_grantor.cc
+++ b/src/target/allowance_grantor.cc
@@ -270,9 +270,11 @@
     holder->m_vouched.reset();
   }
   // The request may be late. The holder followed this grantor when it applied the grant whose time it repeats.
-  const TimePoint echo = FromMilliseconds(request.m_echo_ms);
-  if (request.m_applied > 0 && echo <= now && (!holder->m_vouched || echo > *holder->m_vouched))
-    holder->m_vouched = echo;
+  // A time after now was never given out; as a number of nanoseconds it could overflow.
+  if (request.m_applied > 0 && request.m_echo_ms <= Milliseconds(now)) {
+    const TimePoint echo = FromMilliseconds(request.m_echo_ms);
+    holder->m_vouched = std::max(holder->m_vouched.value_or(echo), echo);
+  }
   holder->m_members_digest = request.m_members_digest;
   holder->m_missing = request.m_missing;
   holder->m_waiting.clear();
--- a/tests/allowance_lease_test.cc
+++ b/tests/allowance_lease_test.cc
@@ -52,6 +52,27 @@
   EXPECT_EQ(tokens, 30U);
 }
 
+// Guards against an overflow found by fuzzing: a holder that repeats a time far in the future is answered and vouches
+// for nothing.
+TEST(AllowanceLeaseTest, RefusesATimeThatWasNeverGivenOut) {
+  const TimePoint start{seconds(100)};
+  AllowanceGrantor grantor(HostId{1}, 1, {{HostId{1}}, {HostId{2}}}, 0, 7, start);
+  LeaseRequest request;
+  request.m_holder = HostId{2};
+  request.m_grantor = HostId{1};
+  request.m_epoch = 1;
+  request.m_sequence = 2;
+  request.m_applied = 1;
+  // In nanoseconds this wraps to 99.9 s, a time that would count.
+  request.m_echo_ms = (1ULL << 58U) + 99'900;
+  ASSERT_TRUE(grantor.OnRequest(request, start));
+  EXPECT_EQ(grantor.HeardMembers(start), 0U);
+  request.m_sequence = 3;
+  request.m_echo_ms = 100'000;
+  ASSERT_TRUE(grantor.OnRequest(request, start));
+  EXPECT_EQ(grantor.HeardMembers(start), 1U);
+}
+
 // Guards against a minority that goes on granting: it stops, and the majority uses what the k/n rule leaves it.
 TEST(AllowanceLeaseTest, MinorityStops) {
   AllowanceModel model(5, {10, 10}, 4);
