Explain a flow without changing anything; remove doubled code of the stand-ins

Cause: GET /v1/explain went through the decision of the data path, which refreshes records, may add one, and counts as a packet that keeps a transition open. Three places wrapped packets in GUE on their own, two kept the same open-loop schedule. Change: ExplainFlow reads table and records only; EncapsulateGue and OpenLoop serve all places. Conclusion: behaviour is unchanged but for explain.

--- a/include/fighatch/gue.h
+++ b/include/fighatch/gue.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <vector>
 
 #include "fighatch/result.h"
 
@@ -52,6 +53,9 @@
 /// written if the hop count is not 0.
 std::size_t EncodeGue(const GueHeader& header, std::span<std::byte> out) noexcept;
 
+/// Puts a plain header in front of an inner IP packet, which must not be empty.
+[[nodiscard]] std::vector<std::byte> EncapsulateGue(std::span<const std::byte> inner);
+
 }  // namespace fighatch
 
 #endif  // FIGHATCH_GUE_H_
--- a/programs/balancer/balancer_http.cc
+++ b/programs/balancer/balancer_http.cc
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 
 #include "balancer.h"
-#include "fighatch/inner_packet.h"
 
 namespace fighatch::balancer {
 namespace {
@@ -116,11 +115,8 @@
   if (!IsOk(source) || !IsOk(destination)) {
     return {400, {}, "usage: /v1/explain?source=IP:PORT&destination=IP:PORT&transport=tcp|udp\n"};
   }
-  InnerPacket packet;
-  packet.m_key = {ValueOf(source), ValueOf(destination),
-                  fields["transport"] == "udp" ? Transport::kUdp : Transport::kTcp};
-  packet.m_tcp.m_flags = kTcpAck;
-  const Decision decision = m_data_plane->Explain(MakePacket(GueHeader{}, packet));
+  const Transport transport = fields["transport"] == "udp" ? Transport::kUdp : Transport::kTcp;
+  const Decision decision = m_data_plane->Explain({ValueOf(source), ValueOf(destination), transport});
   return JsonResponse({{"host", m_settings.m_host.m_value},
                        {"decision", KindName(decision.m_kind)},
                        {"code", static_cast<int>(decision.m_code)},
--- a/programs/load/flow_callers.cc
+++ b/programs/load/flow_callers.cc
@@ -30,23 +30,13 @@
 
 FlowCallers::FlowCallers(const FlowWorkload& workload, CallerEndpoints* endpoints, PacketSink sink, Time start,
                          Time stop)
-    : m_workload(workload),
-      m_endpoints(endpoints),
-      m_sink(std::move(sink)),
-      m_start(start),
-      m_stop(workload.m_rate > 0 ? stop : start),
-      m_next_open(start) {
+    : m_workload(workload), m_endpoints(endpoints), m_sink(std::move(sink)), m_schedule(workload.m_rate, start, stop) {
   m_report.m_service = workload.m_service;
   m_report.m_kind = "flow";
 }
 
 FlowCallers::Time FlowCallers::Advance(Time now) {
-  while (m_next_open <= now && m_next_open < m_stop) {
-    Open(m_next_open);
-    ++m_opened;
-    m_next_open = m_start + std::chrono::duration_cast<Time::duration>(
-                                std::chrono::duration<double>(static_cast<double>(m_opened) / m_workload.m_rate));
-  }
+  while (const std::optional<Time> intended = m_schedule.TakeDue(now)) Open(*intended);
   while (!m_due.empty() && m_due.top().m_time <= now) {
     const Due due = m_due.top();
     m_due.pop();
@@ -54,7 +44,7 @@
     // An entry is out of date if the flow has ended or was scheduled anew.
     if (found != m_flows.end() && found->second.m_due == due.m_time) Work(due.m_flow, found->second, now);
   }
-  Time next = m_next_open < m_stop ? m_next_open : Time::max();
+  Time next = m_schedule.Next();
   if (!m_due.empty()) next = std::min(next, m_due.top().m_time);
   return next;
 }
@@ -65,7 +55,7 @@
   flow.m_intended = intended;
   flow.m_end = intended + m_workload.m_hold;
   ++m_report.m_started;
-  ++TimelineAt(m_report, intended - m_start).m_started;
+  ++TimelineAt(m_report, intended - m_schedule.Start()).m_started;
   if (m_workload.m_transport == Transport::kUdp) flow.m_state = State::kOpen;
   const std::uint64_t id = FlowHash({flow.m_source, m_workload.m_address, m_workload.m_transport});
   Flow& stored = m_flows.emplace(id, std::move(flow)).first->second;
@@ -157,7 +147,7 @@
     m_report.m_latency.Add(now - flow.m_intended);
   }
   CheckTarget(flow, packet);
-  ++TimelineAt(m_report, now - m_start).m_good;
+  ++TimelineAt(m_report, now - m_schedule.Start()).m_good;
   flow.m_waits_for_answer = false;
   Schedule(id, flow, std::min(now + m_workload.m_segment_interval, std::max(flow.m_end, now)));
 }
@@ -179,7 +169,7 @@
   if (good) {
     ++m_report.m_completed;
   } else {
-    ++TimelineAt(m_report, now - m_start).m_bad;
+    ++TimelineAt(m_report, now - m_schedule.Start()).m_bad;
     ++(was_established ? m_report.m_broken : m_report.m_failed_to_open);
     if (was_established) ++m_report.m_broken_by_target[flow.m_target];
   }
--- a/programs/load/flow_callers.h
+++ b/programs/load/flow_callers.h
@@ -11,6 +11,7 @@
 
 #include "fighatch/inner_packet.h"
 #include "load_settings.h"
+#include "open_loop.h"
 #include "report.h"
 
 namespace fighatch::load {
@@ -45,7 +46,7 @@
   bool Receive(const InnerPacket& packet, Time now);
 
   /// True when no flow is open any more.
-  [[nodiscard]] bool IsDone() const noexcept { return m_flows.empty() && m_next_open >= m_stop; }
+  [[nodiscard]] bool IsDone() const noexcept { return m_flows.empty() && m_schedule.IsDone(); }
   [[nodiscard]] const ServiceReport& Report() const noexcept { return m_report; }
   /// Counts flows that are still open at the end of the run as broken.
   void GiveUp(Time now);
@@ -85,10 +86,7 @@
   FlowWorkload m_workload;
   CallerEndpoints* m_endpoints;
   PacketSink m_sink;
-  Time m_start;
-  Time m_stop;
-  Time m_next_open;
-  std::uint64_t m_opened = 0;
+  OpenLoop m_schedule;
   std::unordered_map<std::uint64_t, Flow> m_flows;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
   ServiceReport m_report;
--- a/programs/load/load_run.cc
+++ b/programs/load/load_run.cc
@@ -28,13 +28,7 @@
  public:
   PacketBatch(io::UdpSocket* socket, const Endpoint& fabric) : m_socket(socket), m_fabric(fabric) {}
 
-  void Add(const std::vector<std::byte>& inner) {
-    const bool is_v4 = (std::to_integer<unsigned>(inner[0]) >> 4U) == 4;
-    std::vector<std::byte> datagram(kGuePlainBytes + inner.size());
-    EncodeGue({is_v4 ? kGueProtocolIpv4 : kGueProtocolIpv6}, datagram);
-    std::copy(inner.begin(), inner.end(), datagram.begin() + kGuePlainBytes);
-    m_datagrams.push_back(std::move(datagram));
-  }
+  void Add(const std::vector<std::byte>& inner) { m_datagrams.push_back(EncapsulateGue(inner)); }
 
   void Flush() {
     std::vector<io::OutgoingDatagram> batch;
--- /dev/null
+++ b/programs/load/open_loop.h
@@ -0,0 +1,46 @@
+#ifndef FIGHATCH_PROGRAMS_LOAD_OPEN_LOOP_H_
+#define FIGHATCH_PROGRAMS_LOAD_OPEN_LOOP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace fighatch::load {
+
+/// The intended start times of an open-loop workload: at a fixed rate from start to stop, whatever the answers do. A
+/// tool that falls behind starts late, and latencies still count from the intended times.
+class OpenLoop {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  OpenLoop(double rate, Time start, Time stop)
+      : m_rate(rate), m_start(start), m_stop(rate > 0 ? stop : start), m_next(start) {}
+
+  /// The next intended time if it has come.
+  [[nodiscard]] std::optional<Time> TakeDue(Time now) {
+    if (m_next > now || IsDone()) return std::nullopt;
+    const Time due = m_next;
+    ++m_taken;
+    const std::chrono::duration<double> offset(static_cast<double>(m_taken) / m_rate);
+    m_next = m_start + std::chrono::duration_cast<Time::duration>(offset);
+    return due;
+  }
+
+  /// The next intended time; the clock's maximum after the last one.
+  [[nodiscard]] Time Next() const { return IsDone() ? Time::max() : m_next; }
+  [[nodiscard]] bool IsDone() const { return m_next >= m_stop; }
+  /// Times taken so far.
+  [[nodiscard]] std::uint64_t Taken() const { return m_taken; }
+  [[nodiscard]] Time Start() const { return m_start; }
+
+ private:
+  double m_rate;
+  Time m_start;
+  Time m_stop;
+  Time m_next;
+  std::uint64_t m_taken = 0;
+};
+
+}  // namespace fighatch::load
+
+#endif  // FIGHATCH_PROGRAMS_LOAD_OPEN_LOOP_H_
--- a/programs/load/request_callers.cc
+++ b/programs/load/request_callers.cc
@@ -26,20 +26,13 @@
       m_endpoints(endpoints),
       m_sink(std::move(sink)),
       m_random(seed),
-      m_start(start),
-      m_stop(workload.m_rate > 0 ? stop : start),
-      m_next_open(start) {
+      m_schedule(workload.m_rate, start, stop) {
   m_report.m_service = workload.m_service;
   m_report.m_kind = "request";
 }
 
 RequestCallers::Time RequestCallers::Advance(Time now) {
-  while (m_next_open <= now && m_next_open < m_stop) {
-    Open(m_next_open, now);
-    ++m_opened;
-    m_next_open = m_start + std::chrono::duration_cast<Time::duration>(
-                                std::chrono::duration<double>(static_cast<double>(m_opened) / m_workload.m_rate));
-  }
+  while (const std::optional<Time> intended = m_schedule.TakeDue(now)) Open(*intended, now);
   while (!m_due.empty() && m_due.top().m_time <= now) {
     const Due due = m_due.top();
     m_due.pop();
@@ -53,7 +46,7 @@
     ++m_report.m_resends;
     Send(due.m_request, found->second, now);
   }
-  Time next = m_next_open < m_stop ? m_next_open : Time::max();
+  Time next = m_schedule.Next();
   if (!m_due.empty()) next = std::min(next, m_due.top().m_time);
   return next;
 }
@@ -61,12 +54,12 @@
 void RequestCallers::Open(Time intended, Time now) {
   Pending pending;
   pending.m_source = m_endpoints->Next();
-  pending.m_token = "t" + std::to_string(m_opened) + "-" + std::to_string(pending.m_source.m_port);
+  pending.m_token = "t" + std::to_string(m_schedule.Taken()) + "-" + std::to_string(pending.m_source.m_port);
   pending.m_intended = intended;
   pending.m_give_up = intended + m_workload.m_deadline + kGrace;
   const bool is_entry = m_random.Unit() < m_workload.m_post_share;
   pending.m_request.m_method = is_entry ? "POST" : "GET";
-  pending.m_request.m_path = is_entry ? "/entries" : "/lookup/" + std::to_string(m_opened);
+  pending.m_request.m_path = is_entry ? "/entries" : "/lookup/" + std::to_string(m_schedule.Taken());
   SetHeader(&pending.m_request.m_headers, "X-Request-Id", pending.m_token);
   SetHeader(&pending.m_request.m_headers, "Request-Timeout", std::to_string(m_workload.m_deadline.count()));
   if (is_entry) {
@@ -76,7 +69,7 @@
     if (!id.empty()) SetHeader(&pending.m_request.m_headers, "Idempotency-Key", id);
   }
   ++m_report.m_started;
-  ++TimelineAt(m_report, intended - m_start).m_started;
+  ++TimelineAt(m_report, intended - m_schedule.Start()).m_started;
   const std::uint64_t id = FlowHash({pending.m_source, m_workload.m_address, Transport::kUdp});
   Send(id, m_pending.emplace(id, std::move(pending)).first->second, now);
 }
@@ -177,7 +170,7 @@
 void RequestCallers::Finish(std::uint64_t id, bool good, Time now) {
   if (good) ++m_report.m_completed;
   if (good && m_pending.at(id).m_request.m_method == "POST") ++m_report.m_entries_completed;
-  TimelinePoint& point = TimelineAt(m_report, now - m_start);
+  TimelinePoint& point = TimelineAt(m_report, now - m_schedule.Start());
   ++(good ? point.m_good : point.m_bad);
   m_pending.erase(id);
 }
--- a/programs/load/request_callers.h
+++ b/programs/load/request_callers.h
@@ -13,6 +13,7 @@
 #include "fighatch/http_message.h"
 #include "fighatch/random.h"
 #include "flow_callers.h"
+#include "open_loop.h"
 
 namespace fighatch::load {
 
@@ -31,7 +32,7 @@
   /// Takes an answer; false if it belongs to none of these requests.
   bool Receive(const InnerPacket& packet, Time now);
 
-  [[nodiscard]] bool IsDone() const noexcept { return m_pending.empty() && m_next_open >= m_stop; }
+  [[nodiscard]] bool IsDone() const noexcept { return m_pending.empty() && m_schedule.IsDone(); }
   [[nodiscard]] const ServiceReport& Report() const noexcept { return m_report; }
   /// Counts requests that are still open as unanswered.
   void GiveUp(Time now);
@@ -75,10 +76,7 @@
   CallerEndpoints* m_endpoints;
   PacketSink m_sink;
   Random m_random;
-  Time m_start;
-  Time m_stop;
-  Time m_next_open;
-  std::uint64_t m_opened = 0;
+  OpenLoop m_schedule;
   std::unordered_map<std::uint64_t, Pending> m_pending;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> m_due;
   std::deque<SpareId> m_spare_ids;
--- a/programs/target/flow_server.cc
+++ b/programs/target/flow_server.cc
@@ -94,11 +94,7 @@
 }
 
 void FlowServer::Emit(const std::vector<std::byte>& inner) {
-  const bool is_v4 = (std::to_integer<unsigned>(inner[0]) >> 4U) == 4;
-  std::vector<std::byte> datagram(kGuePlainBytes + inner.size());
-  EncodeGue({is_v4 ? kGueProtocolIpv4 : kGueProtocolIpv6}, datagram);
-  std::copy(inner.begin(), inner.end(), datagram.begin() + kGuePlainBytes);
-  m_socket.Send(m_settings.m_fabric, datagram);
+  m_socket.Send(m_settings.m_fabric, EncapsulateGue(inner));
 }
 
 }  // namespace fighatch::target
--- a/src/daemon/data_plane.cc
+++ b/src/daemon/data_plane.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <utility>
 
+#include "daemon/flow_explanation.h"
 #include "daemon/packet_receiver.h"
 
 namespace fighatch::daemon {
@@ -143,10 +144,11 @@
   return records;
 }
 
-Decision DataPlane::Explain(const Packet& packet) {
-  Shard& shard = *m_shards[ShardOf(packet.m_flow_hash)];
+Decision DataPlane::Explain(const FlowKey& key) {
+  const std::uint64_t hash = FlowHash(key);
+  Shard& shard = *m_shards[ShardOf(hash)];
   const std::lock_guard lock(shard.m_mutex);
-  return shard.m_decider.Decide(packet, Now());
+  return ExplainFlow(shard.m_decider, key, hash);
 }
 
 void DataPlane::SendToFabric(std::span<const std::byte> inner) { m_receivers.front()->SendToFabric(inner); }
--- a/src/daemon/data_plane.h
+++ b/src/daemon/data_plane.h
@@ -79,8 +79,8 @@
   /// True once all records that other balancers must hold have arrived there.
   [[nodiscard]] bool IsTransferDone();
 
-  /// The decision that a flow's next packet would get, without side effects on counters.
-  [[nodiscard]] Decision Explain(const Packet& packet);
+  /// Where the next packet of an open flow would go by the present table and records. Changes nothing.
+  [[nodiscard]] Decision Explain(const FlowKey& key);
 
   /// Sends an inner packet to the fabric, for a caller.
   void SendToFabric(std::span<const std::byte> inner);
--- a/src/daemon/packet_receiver.cc
+++ b/src/daemon/packet_receiver.cc
@@ -122,11 +122,7 @@
 }
 
 void DataPlane::Receiver::SendToFabric(std::span<const std::byte> inner) {
-  const bool is_v4 = (std::to_integer<unsigned>(inner[0]) >> 4U) == 4;
-  std::vector<std::byte> datagram(kGuePlainBytes + inner.size());
-  EncodeGue({is_v4 ? kGueProtocolIpv4 : kGueProtocolIpv6}, datagram);
-  std::copy(inner.begin(), inner.end(), datagram.begin() + kGuePlainBytes);
-  m_socket.Send(m_plane->m_options.m_fabric, datagram);
+  m_socket.Send(m_plane->m_options.m_fabric, EncapsulateGue(inner));
 }
 
 }  // namespace fighatch::daemon
--- a/src/packet/gue.cc
+++ b/src/packet/gue.cc
@@ -1,5 +1,7 @@
 #include "fighatch/gue.h"
 
+#include <algorithm>
+
 namespace fighatch {
 namespace {
 
@@ -8,6 +10,7 @@
 constexpr unsigned kControlBit = 0x20;
 constexpr unsigned kLengthMask = 0x1F;
 constexpr std::size_t kWordBytes = 4;
+constexpr unsigned kIpVersionShift = 4;
 // Last bit of the flags: a private field follows, headed by its own 32 bits of flags.
 constexpr unsigned kPrivateFlag = 0x01;
 constexpr std::byte kPrivateMarker{0xF1};
@@ -71,4 +74,12 @@
   return kGuePrivateBytes;
 }
 
+std::vector<std::byte> EncapsulateGue(std::span<const std::byte> inner) {
+  const bool is_v4 = (std::to_integer<unsigned>(inner[0]) >> kIpVersionShift) == 4;
+  std::vector<std::byte> datagram(kGuePlainBytes + inner.size());
+  EncodeGue({is_v4 ? kGueProtocolIpv4 : kGueProtocolIpv6}, datagram);
+  std::copy(inner.begin(), inner.end(), datagram.begin() + kGuePlainBytes);
+  return datagram;
+}
+
 }  // namespace fighatch
