Sign the state that balancers fetch from control hosts

Change: HttpSeal signs requests over their path with a nonce and answers over path and body, under a key derived from the cluster key; unsigned requests get 401, unsigned answers are refused. Request ids use the same key derivation. Conclusion: no message that can change state is taken without a key.

--- a/programs/balancer/balancer.cc
+++ b/programs/balancer/balancer.cc
@@ -33,13 +33,9 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
-// Request ids are authenticated with a key of their own that all balancers derive from the active cluster key.
+// All balancers derive the same key for request ids.
 RequestIdKey DeriveRequestIdKey(const KeyBytes& cluster_key) {
-  static constexpr std::string_view kPurpose = "fighatch request ids";
-  RequestIdKey key{};
-  crypto_generichash(key.data(), key.size(), reinterpret_cast<const unsigned char*>(kPurpose.data()), kPurpose.size(),
-                     reinterpret_cast<const unsigned char*>(cluster_key.data()), cluster_key.size());
-  return key;
+  return daemon::DeriveKey(cluster_key, "fighatch request ids");
 }
 
 }  // namespace
@@ -127,8 +123,9 @@
 }
 
 void Balancer::Run(daemon::StopSignal* stop) {
-  m_follower = std::make_unique<daemon::StateFollower>(m_settings.m_host, m_settings.m_control_hosts, m_stored_state,
-                                                       [this](const StateDocument& state) { OnState(state); });
+  m_follower =
+      std::make_unique<daemon::StateFollower>(m_settings.m_host, m_settings.m_control_hosts, daemon::HttpSeal(m_keys),
+                                              m_stored_state, [this](const StateDocument& state) { OnState(state); });
   StartControlLoop(m_stored_state);
   m_links->Start();
   boost::fibers::fiber http([this] { m_server->Serve(); });
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -11,6 +11,7 @@
 #include "daemon/control_metrics.h"
 #include "daemon/control_replica.h"
 #include "daemon/control_storage.h"
+#include "daemon/http_seal.h"
 #include "daemon/operator_key.h"
 #include "daemon/program.h"
 #include "daemon/sealed_message_transport.h"
@@ -72,12 +73,12 @@
 
 // Serves until a signal asks for a stop: then leadership is handed over and requests in progress are finished.
 ExitCode Serve(const ControlSettings& settings, const fighatch::daemon::OperatorKey& key,
-               fighatch::daemon::ControlStorage* storage, fighatch::daemon::MessageTransport* transport,
-               fighatch::daemon::StopSignal* stop) {
+               const fighatch::daemon::HttpSeal& seal, fighatch::daemon::ControlStorage* storage,
+               fighatch::daemon::MessageTransport* transport, fighatch::daemon::StopSignal* stop) {
   fighatch::daemon::ControlReplica replica(settings, storage->m_storage.get(), storage->m_storage->TakeStored(),
                                            transport);
   fighatch::daemon::ControlMetrics metrics;
-  fighatch::daemon::ControlHttp http(settings, key, &replica, &metrics);
+  fighatch::daemon::ControlHttp http(settings, key, seal, &replica, &metrics);
   auto server = fighatch::io::HttpServer::Create(
       settings.Self().m_http_endpoint, [&http](const auto& request, const auto&) { return http.Handle(request); });
   if (!IsOk(server)) return Fail(ErrorOf(server));
@@ -98,9 +99,7 @@
   return ExitCode::kOk;
 }
 
-Result<fighatch::SecureChannel> OpenChannel(const ControlSettings& settings) {
-  auto keys = fighatch::KeyRing::Load(settings.m_cluster_keys);
-  if (!IsOk(keys)) return ErrorOf(keys);
+Result<fighatch::SecureChannel> OpenChannel(const ControlSettings& settings, const fighatch::KeyRing& keys) {
   fighatch::io::SyncedFileStore files(settings.m_data_folder);
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   const auto incarnation = fighatch::TakeIncarnation(
@@ -108,7 +107,7 @@
   if (!IsOk(incarnation)) return ErrorOf(incarnation);
   std::uint64_t token = 0;
   randombytes_buf(&token, sizeof(token));
-  return fighatch::SecureChannel({settings.m_host, ValueOf(incarnation), token}, std::move(ValueOf(keys)));
+  return fighatch::SecureChannel({settings.m_host, ValueOf(incarnation), token}, keys);
 }
 
 ExitCode Run(const ControlSettings& settings, const fighatch::daemon::ProgramOptions& options) {
@@ -119,12 +118,15 @@
   auto storage = fighatch::daemon::OpenControlStorage(settings);
   if (!IsOk(storage)) return Fail(ErrorOf(storage));
   const fighatch::io::Reactor reactor;
-  auto channel = OpenChannel(settings);
+  const auto keys = fighatch::KeyRing::Load(settings.m_cluster_keys);
+  if (!IsOk(keys)) return Fail(ErrorOf(keys));
+  const fighatch::daemon::HttpSeal seal(ValueOf(keys));
+  auto channel = OpenChannel(settings, ValueOf(keys));
   if (!IsOk(channel)) return Fail(ErrorOf(channel));
   auto transport = fighatch::daemon::SealedMessageTransport::Create(settings.Self().m_message_endpoint,
                                                                     PeersOf(settings), &ValueOf(channel));
   if (!IsOk(transport)) return Fail(ErrorOf(transport));
-  return Serve(settings, ValueOf(key), &ValueOf(storage), ValueOf(transport).get(), &stop);
+  return Serve(settings, ValueOf(key), seal, &ValueOf(storage), ValueOf(transport).get(), &stop);
 }
 
 }  // namespace
--- a/src/daemon/control_http.cc
+++ b/src/daemon/control_http.cc
@@ -76,9 +76,9 @@
 
 }  // namespace
 
-ControlHttp::ControlHttp(const config::ControlSettings& settings, const OperatorKey& key, TicketBackend* backend,
-                         ControlMetrics* metrics)
-    : m_settings(settings), m_key(key), m_backend(backend), m_metrics(metrics) {}
+ControlHttp::ControlHttp(const config::ControlSettings& settings, const OperatorKey& key, const HttpSeal& seal,
+                         TicketBackend* backend, ControlMetrics* metrics)
+    : m_settings(settings), m_key(key), m_seal(seal), m_backend(backend), m_metrics(metrics) {}
 
 HttpResponse ControlHttp::Handle(const HttpRequest& request) {
   const std::size_t mark = request.m_path.find('?');
@@ -89,7 +89,7 @@
   if (request.m_method != "GET") return ErrorResponse(405, MakeError(ErrorCode::kRequestMalformed, "method"));
   if (path.starts_with("/v1/tickets/")) return GetTicket(path.substr(kTickets.size() + 1));
   if (path == "/v1/state") return GetState();
-  if (path == "/v1/delta") return GetDelta(ParseQuery(query));
+  if (path == "/v1/delta") return GetSealedDelta(request, query);
   if (path == "/v1/hosts") return GetHosts();
   if (path == "/v1/health") return GetHealth();
   if (path == "/metrics") return GetMetrics();
@@ -165,6 +165,16 @@
   m_followers[host] = {in_force, now};
 }
 
+HttpResponse ControlHttp::GetSealedDelta(const HttpRequest& request, const std::string& query) {
+  const Status verified = m_seal.Verify(request.m_path, FindHeader(request.m_headers, kSealHeader).value_or(""));
+  if (!IsOk(verified)) return ErrorResponse(401, ErrorOf(verified));
+  HttpResponse response = GetDelta(ParseQuery(query));
+  const Result<std::string> signature = m_seal.Sign(HttpSeal::AnswerText(request.m_path, response.m_body));
+  if (!IsOk(signature)) return ErrorResponse(503, ErrorOf(signature));
+  SetHeader(&response.m_headers, kSealHeader, ValueOf(signature));
+  return response;
+}
+
 HttpResponse ControlHttp::GetDelta(const Parameters& parameters) {
   Version version;
   std::uint64_t host = 0;
--- a/src/daemon/control_http.h
+++ b/src/daemon/control_http.h
@@ -8,6 +8,7 @@
 
 #include "config/control_settings.h"
 #include "daemon/control_metrics.h"
+#include "daemon/http_seal.h"
 #include "daemon/operator_key.h"
 #include "daemon/ticket_backend.h"
 #include "fighatch/http_message.h"
@@ -17,8 +18,8 @@
 /// The HTTP interface of a control host towards operators and balancers.
 class ControlHttp {
  public:
-  ControlHttp(const config::ControlSettings& settings, const OperatorKey& key, TicketBackend* backend,
-              ControlMetrics* metrics);
+  ControlHttp(const config::ControlSettings& settings, const OperatorKey& key, const HttpSeal& seal,
+              TicketBackend* backend, ControlMetrics* metrics);
 
   /// Answers one request; may suspend the fiber.
   [[nodiscard]] HttpResponse Handle(const HttpRequest& request);
@@ -37,6 +38,8 @@
   [[nodiscard]] HttpResponse PostTicket(const HttpRequest& request);
   [[nodiscard]] HttpResponse GetTicket(const std::string& number_text);
   [[nodiscard]] HttpResponse GetState() const;
+  /// Answers a signed request of a balancer; `kMessageForged` and its like otherwise.
+  [[nodiscard]] HttpResponse GetSealedDelta(const HttpRequest& request, const std::string& query);
   [[nodiscard]] HttpResponse GetDelta(const Parameters& parameters);
   [[nodiscard]] HttpResponse GetHosts() const;
   [[nodiscard]] HttpResponse GetHealth() const;
@@ -46,6 +49,7 @@
 
   const config::ControlSettings& m_settings;
   const OperatorKey& m_key;
+  const HttpSeal& m_seal;
   TicketBackend* m_backend;
   ControlMetrics* m_metrics;
   std::map<HostId, FollowerReport> m_followers;
--- /dev/null
+++ b/src/daemon/http_seal.cc
@@ -0,0 +1,58 @@
+#include "daemon/http_seal.h"
+
+#include <sodium.h>
+
+#include <charconv>
+#include <vector>
+
+namespace fighatch::daemon {
+namespace {
+
+constexpr std::string_view kPurpose = "fighatch http";
+
+const unsigned char* Bytes(std::string_view text) { return reinterpret_cast<const unsigned char*>(text.data()); }
+
+std::string Mac(const KeyBytes& key, std::string_view text) {
+  const std::array<std::uint8_t, 32> derived = DeriveKey(key, kPurpose);
+  std::array<unsigned char, crypto_auth_BYTES> mac;
+  crypto_auth(mac.data(), Bytes(text), text.size(), derived.data());
+  std::array<char, 2 * crypto_auth_BYTES + 1> hex;
+  return sodium_bin2hex(hex.data(), hex.size(), mac.data(), mac.size());
+}
+
+}  // namespace
+
+std::array<std::uint8_t, 32> DeriveKey(const KeyBytes& cluster_key, std::string_view purpose) {
+  std::array<std::uint8_t, 32> key{};
+  crypto_generichash(key.data(), key.size(), Bytes(purpose), purpose.size(),
+                     reinterpret_cast<const unsigned char*>(cluster_key.data()), cluster_key.size());
+  return key;
+}
+
+Result<std::string> HttpSeal::Sign(std::string_view text) const {
+  const Result<std::uint32_t> id = m_keys.ActiveId(KeyKind::kCluster);
+  if (!IsOk(id)) return ErrorOf(id);
+  return std::to_string(ValueOf(id)) + ":" + Mac(*m_keys.Find(KeyKind::kCluster, ValueOf(id)), text);
+}
+
+Status HttpSeal::Verify(std::string_view text, std::string_view header) const {
+  std::uint32_t id = 0;
+  const auto [end, error] = std::from_chars(header.data(), header.data() + header.size(), id);
+  if (error != std::errc() || end == header.data() + header.size() || *end != ':') {
+    return MakeError(ErrorCode::kMessageMalformed, std::string(kSealHeader));
+  }
+  const KeyBytes* key = m_keys.Find(KeyKind::kCluster, id);
+  if (key == nullptr) return MakeError(ErrorCode::kMessageUnknownKey, std::to_string(id));
+  const std::string expected = Mac(*key, text);
+  const std::string_view given(end + 1, static_cast<std::size_t>(header.data() + header.size() - end - 1));
+  const bool is_equal =
+      given.size() == expected.size() && sodium_memcmp(given.data(), expected.data(), given.size()) == 0;
+  return is_equal ? OkStatus() : Status(MakeError(ErrorCode::kMessageForged, "http"));
+}
+
+std::string HttpSeal::AnswerText(std::string_view path, std::string_view body) {
+  std::string text(path);
+  return text.append("\n").append(body);
+}
+
+}  // namespace fighatch::daemon
--- /dev/null
+++ b/src/daemon/http_seal.h
@@ -0,0 +1,42 @@
+#ifndef FIGHATCH_DAEMON_HTTP_SEAL_H_
+#define FIGHATCH_DAEMON_HTTP_SEAL_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "fighatch/key_ring.h"
+
+namespace fighatch::daemon {
+
+/// The header that carries the signature of an HTTP message between our daemons.
+inline constexpr std::string_view kSealHeader = "Fighatch-Seal";
+
+/// A 256-bit key for one purpose, derived from a cluster key, so that one key is never used with two algorithms.
+[[nodiscard]] std::array<std::uint8_t, 32> DeriveKey(const KeyBytes& cluster_key, std::string_view purpose);
+
+/// Signs and checks HTTP messages between balancers and control hosts with HMAC-SHA-512/256 under a key derived from a
+/// cluster key. A request is signed over its path, which holds a random nonce, and the answer over path and body, so
+/// that an answer recorded earlier does not fit another request.
+class HttpSeal {
+ public:
+  explicit HttpSeal(KeyRing keys) : m_keys(std::move(keys)) {}
+
+  /// The header value: the active key's id, a colon and the signature in hexadecimal digits. Errors:
+  /// `kMessageUnknownKey`.
+  [[nodiscard]] Result<std::string> Sign(std::string_view text) const;
+
+  /// Checks a header value. Errors: `kMessageMalformed`, `kMessageUnknownKey`, `kMessageForged`.
+  [[nodiscard]] Status Verify(std::string_view text, std::string_view header) const;
+
+  /// What the signature of an answer covers.
+  [[nodiscard]] static std::string AnswerText(std::string_view path, std::string_view body);
+
+ private:
+  KeyRing m_keys;
+};
+
+}  // namespace fighatch::daemon
+
+#endif  // FIGHATCH_DAEMON_HTTP_SEAL_H_
--- a/src/daemon/state_follower.cc
+++ b/src/daemon/state_follower.cc
@@ -1,6 +1,7 @@
 #include "daemon/state_follower.h"
 
 #include <glog/logging.h>
+#include <sodium.h>
 
 #include <boost/fiber/operations.hpp>
 #include <utility>
@@ -17,11 +18,19 @@
 constexpr milliseconds kPollTimeout{2500};
 constexpr milliseconds kRetryDelay{100};
 
+std::uint64_t RandomNonce() {
+  std::uint64_t nonce = 0;
+  randombytes_buf(&nonce, sizeof(nonce));
+  return nonce;
+}
+
 }  // namespace
 
-StateFollower::StateFollower(HostId host, std::vector<Endpoint> control_hosts, StateDocument state, OnChange on_change)
+StateFollower::StateFollower(HostId host, std::vector<Endpoint> control_hosts, HttpSeal seal, StateDocument state,
+                             OnChange on_change)
     : m_host(host),
       m_control_hosts(std::move(control_hosts)),
+      m_seal(std::move(seal)),
       m_state(std::move(state)),
       m_on_change(std::move(on_change)) {}
 
@@ -39,7 +48,11 @@
   const Version from = m_ask_for_snapshot ? Version{} : m_state.m_version;
   HttpRequest request;
   request.m_path = "/v1/delta?epoch=" + std::to_string(from.m_epoch) +
-                   "&generation=" + std::to_string(from.m_generation) + "&host=" + std::to_string(m_host.m_value);
+                   "&generation=" + std::to_string(from.m_generation) + "&host=" + std::to_string(m_host.m_value) +
+                   "&nonce=" + std::to_string(RandomNonce());
+  const Result<std::string> signature = m_seal.Sign(request.m_path);
+  if (!IsOk(signature)) return false;
+  SetHeader(&request.m_headers, kSealHeader, ValueOf(signature));
   const auto response = io::HttpExchange(control_host, request, steady_clock::now() + kPollTimeout);
   if (!IsOk(response) || ValueOf(response).m_status != 200) {
     LOG_EVERY_N(WARNING, 50) << "event=state_poll_failed control_host=" << ToString(control_host) << " "
@@ -47,6 +60,13 @@
                                                 : ToString(ErrorOf(response)));
     return false;
   }
+  const std::string_view seal = FindHeader(ValueOf(response).m_headers, kSealHeader).value_or("");
+  const Status verified = m_seal.Verify(HttpSeal::AnswerText(request.m_path, ValueOf(response).m_body), seal);
+  if (!IsOk(verified)) {
+    LOG_EVERY_N(WARNING, 50) << "event=delta_refused control_host=" << ToString(control_host) << " "
+                             << ToString(ErrorOf(verified));
+    return false;
+  }
   m_last_heard = steady_clock::now();
   if (!ValueOf(response).m_body.empty()) Apply(ValueOf(response).m_body);
   return true;
--- a/src/daemon/state_follower.h
+++ b/src/daemon/state_follower.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <vector>
 
+#include "daemon/http_seal.h"
 #include "fighatch/address.h"
 #include "fighatch/state_delta.h"
 #include "fighatch/state_document.h"
@@ -19,7 +20,9 @@
   using OnChange = std::function<void(const StateDocument& state)>;
 
   /// `state` is where the copy starts, for example from a hot file.
-  StateFollower(HostId host, std::vector<Endpoint> control_hosts, StateDocument state, OnChange on_change);
+  /// Requests are signed with `seal`, and answers that are not signed by a control host are refused.
+  StateFollower(HostId host, std::vector<Endpoint> control_hosts, HttpSeal seal, StateDocument state,
+                OnChange on_change);
 
   /// Follows until `Stop`; runs in a fiber of its own.
   void Run();
@@ -39,6 +42,7 @@
 
   HostId m_host;
   std::vector<Endpoint> m_control_hosts;
+  HttpSeal m_seal;
   StateDocument m_state;
   OnChange m_on_change;
   std::chrono::steady_clock::time_point m_last_heard;
--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "daemon/http_seal.h"
 #include "daemon/operator_key.h"
 #include "fighatch/state_delta.h"
 #include "io/http_client.h"
@@ -119,6 +120,12 @@
   Result<HttpResponse> Get(std::uint32_t host, const std::string& path) {
     return io::HttpExchange(m_http[host], {"GET", path, {}, ""}, steady_clock::now() + milliseconds(3000));
   }
+  // A request signed with the cluster key, as a balancer sends it.
+  Result<HttpResponse> GetSealed(std::uint32_t host, const std::string& path) {
+    HttpRequest request{"GET", path, {}, ""};
+    SetHeader(&request.m_headers, daemon::kSealHeader, ValueOf(m_seal.Sign(path)));
+    return io::HttpExchange(m_http[host], request, steady_clock::now() + milliseconds(3000));
+  }
   json GetJson(std::uint32_t host, const std::string& path) {
     const Result<HttpResponse> response = Get(host, path);
     return IsOk(response) ? json::parse(ValueOf(response).m_body, nullptr, false) : json();
@@ -162,6 +169,12 @@
     }
   }
 
+  daemon::HttpSeal m_seal{[] {
+    KeyRing keys;
+    const Result<KeyBytes> key = KeyRing::ParseKey(std::string(64, '8'));
+    EXPECT_TRUE(IsOk(key) && IsOk(keys.Add(KeyKind::kCluster, 1, ValueOf(key), true)));
+    return keys;
+  }()};
   std::map<std::uint32_t, Endpoint> m_http;
   std::map<std::uint32_t, Endpoint> m_messages;
   std::map<std::uint32_t, std::unique_ptr<Process>> m_processes;
@@ -262,15 +275,21 @@
   EXPECT_EQ(run({"apply", kFolder + "/ticket.json"}), 0);
   EXPECT_EQ(run({"diff", kFolder + "/ticket.json"}), 0);
   WaitUntilEqual();
-  const Result<HttpResponse> delta = Get(1, "/v1/delta?epoch=0&generation=0&host=9");
+  const std::string path = "/v1/delta?epoch=0&generation=0&host=9";
+  // Guards against a host without the cluster key that reads the state or reports versions in force.
+  EXPECT_EQ(ValueOf(Get(1, path)).m_status, 401);
+  const Result<HttpResponse> delta = GetSealed(1, path);
   ASSERT_TRUE(IsOk(delta));
+  const std::string seal(FindHeader(ValueOf(delta).m_headers, daemon::kSealHeader).value_or(""));
+  EXPECT_TRUE(IsOk(m_seal.Verify(daemon::HttpSeal::AnswerText(path, ValueOf(delta).m_body), seal)));
+  EXPECT_FALSE(IsOk(m_seal.Verify(daemon::HttpSeal::AnswerText(path + "1", ValueOf(delta).m_body), seal)));
   EXPECT_EQ(run({"where", "1"}), 4);
   StateDocument state;
   const std::string& body = ValueOf(delta).m_body;
   ASSERT_TRUE(IsOk(ApplyDelta(ValueOf(DecodeDelta(std::as_bytes(std::span(body)))), &state)));
   const std::string in_force = "epoch=" + std::to_string(state.m_version.m_epoch) +
                                "&generation=" + std::to_string(state.m_version.m_generation);
-  const Result<HttpResponse> up_to_date = Get(1, "/v1/delta?" + in_force + "&host=9");
+  const Result<HttpResponse> up_to_date = GetSealed(1, "/v1/delta?" + in_force + "&host=9");
   ASSERT_TRUE(IsOk(up_to_date));
   EXPECT_TRUE(ValueOf(up_to_date).m_body.empty());
   EXPECT_EQ(run({"where", "1"}), 0);
