--- a/examples/embed_flow_decider.cc
+++ b/examples/embed_flow_decider.cc
@@ -1,5 +1,5 @@
-// Embeds the flow placement of fighatch in a program of one's own: no sockets, the program passes in time and packets.
-// Run it without arguments; it prints where packets of two flows go before and during a change of targets.
+// Embeds flow placement: the program passes in time and packets. It prints where packets of two flows go before and
+// during a change of targets.
 
 #include <chrono>
 #include <iostream>
@@ -9,22 +9,18 @@
 namespace {
 
 using namespace fighatch;  // NOLINT(google-build-using-namespace): an example reads better without qualification.
-
 constexpr ServiceId kService{1};
 constexpr DataCentreId kDataCentre{1};
-
 Endpoint At(const char* text) { return ValueOf(ParseEndpoint(text)); }
 
 StateDocument MakeState() {
   StateDocument state;
   state.m_version = {1, 1};
   state.m_data_centres["north"].m_id = kDataCentre;
-  Service service;
-  service.m_name = "ledger-house";
+  Service& service = state.m_services["ledger-house"];
   service.m_id = kService;
   service.m_addresses = {{At("198.51.100.11:443"), Transport::kTcp}};
   service.m_weights = {{"north", 1}};
-  state.m_services[service.m_name] = service;
   return state;
 }
 
@@ -34,7 +30,6 @@
   target.m_service = kService;
   target.m_data_centre = kDataCentre;
   target.m_gue_endpoint = At(endpoint);
-  target.m_state = TargetState::kServing;
   return target;
 }
 
@@ -46,14 +41,13 @@
   OwnerTable table;
   table.m_service = kService;
   table.m_data_centre = kDataCentre;
-  table.m_version = {1, 1};
   table.m_base = table.m_current = {{1, 16}};
   Member self;
   self.m_host = HostId{1};
   self.m_data_centre = kDataCentre;
   self.m_keeper_ready = true;
 
-  FlowDecider decider{FlowDeciderOptions{}};
+  FlowDecider decider{{}};
   const TimePoint now{std::chrono::seconds(100)};
   decider.SetContact({now, now, {}});
   const auto take_table = [&] {
@@ -74,13 +68,12 @@
   };
 
   take_table();
-  std::cout << "one target, first packet goes to " << ask("203.0.113.1:4000", kTcpSyn) << "\n";
-  table.m_version = {1, 2};
+  std::cout << "first packet: " << ask("203.0.113.1:4000", kTcpSyn) << "\n";
   table.m_phase = TransitionPhase::kMoving;
   table.m_current = {{2, 16}};
   take_table();
-  const std::string old_flow = ask("203.0.113.1:4000", kTcpAck);
+  const std::string open_flow = ask("203.0.113.1:4000", kTcpAck);
   const std::string new_flow = ask("203.0.113.2:4001", kTcpSyn);
-  std::cout << "while it is replaced, the open flow goes to " << old_flow << ", a new one to " << new_flow << "\n";
-  return old_flow == "192.0.2.1:6080" && new_flow == "192.0.2.2:6080" ? 0 : 1;
+  std::cout << "open flow: " << open_flow << ", new flow: " << new_flow << "\n";
+  return open_flow == "192.0.2.1:6080" && new_flow == "192.0.2.2:6080" ? 0 : 1;
 }
