Let the demo's ticket change weights

Cause: the demo said that its ticket changes the weights, and the ticket only repeated the first one under a new number. Change: the ticket doubles the weight of one data centre for both services while two targets join.

--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -1,6 +1,7 @@
 """The demo: 8 balancers in 3 data centres, both services of one user, a fabric that sprays every packet at random, and
 a ticket and new targets during the run. Exits 0 only if every promise that it exercised held."""
 
+import copy
 import sys
 import time
 
@@ -33,8 +34,10 @@
                              requests={"rate": 200, "post_share": 0.3})
         load.start()
         time.sleep(3)
-        print("a ticket changes the weights, and two targets join", run.user["flow"])
-        ticket = dict(run.ticket, number=2)
+        print("a ticket doubles the weight of one data centre, and two targets join", run.user["flow"])
+        ticket = copy.deepcopy(dict(run.ticket, number=2))
+        for service in ticket["services"]:
+            service["weights"][0]["weight"] = 2
         run.ctl("apply", run.write_ticket("ticket2", ticket))
         joined = [run.make_target(run.user["flow"], 4 + index, 110 + index).start() for index in range(2)]
         run.targets += joined
