Print benchmark results in one place

Cause: three headers of bench/ wrote the same JSON line, each in its own way. Bounds and names are unchanged.

--- a/bench/flow_decision.cc
+++ b/bench/flow_decision.cc
@@ -8,7 +8,7 @@
 
 #include "fighatch/hash.h"
 #include "flow_fixture.h"
-#include "json_line.h"
+#include "report.h"
 
 namespace fighatch::bench {
 namespace {
@@ -77,14 +77,12 @@
     with_half.push_back(DecisionNs(packets, &half, &sink));
     with_many.push_back(DecisionNs(packets, &many, &sink));
   }
-  bool pass = Print({"flow_decision_settled_500000", Median(with_half), "ns", false, 0, true, Median(bare)});
-  pass &= Print({"flow_decision_settled_ratio", Median(with_half) / Median(bare), "ratio", true, 3.0, true, 1.0});
-  pass &=
-      Print({"flow_decision_10000_to_1000000", Median(with_many) / Median(with_few), "ratio", true, 1.3, true, 1.0});
+  bool pass = Report("flow_decision_settled_500000", Median(with_half), "ns", std::nullopt, Median(bare));
+  pass &= Report("flow_decision_settled_ratio", Median(with_half) / Median(bare), "ratio", 3.0, 1.0);
+  pass &= Report("flow_decision_10000_to_1000000", Median(with_many) / Median(with_few), "ratio", 1.3, 1.0);
   const double bytes = static_cast<double>(half.Records().Bytes()) / static_cast<double>(half.Records().size());
-  pass &= Print({"flow_bytes_held", bytes, "B", true, 64, false, 0});
-  pass &= Print(
-      {"flow_shard_fixed_bytes", static_cast<double>(half.Bytes() - half.Records().Bytes()), "B", false, 0, false, 0});
+  pass &= Report("flow_bytes_held", bytes, "B", 64);
+  pass &= Report("flow_shard_fixed_bytes", static_cast<double>(half.Bytes() - half.Records().Bytes()), "B");
   return pass && sink != 0;
 }
 
@@ -97,8 +95,8 @@
   }
   const std::string suffix = "_" + std::to_string(targets) + "_targets";
   const auto bytes = static_cast<double>(table->FindService(ServiceId{1})->Bytes());
-  bool pass = Print({"flow_table_build" + suffix, Median(settled_ms), "ms", false, 0, false, 0});
-  pass &= Print({"flow_table_bytes" + suffix, bytes, "B", false, 0, false, 0});
+  bool pass = Report("flow_table_build" + suffix, Median(settled_ms), "ms");
+  pass &= Report("flow_table_bytes" + suffix, bytes, "B");
   std::vector<OwnerEntry> next = fixture.m_tables[0].m_current;
   next.push_back({fixture.AddTarget(1, targets + 1).m_value, 16});
   if (!BeginLearning(&fixture.m_tables[0], next)) return false;
@@ -106,8 +104,8 @@
     learning_ms.push_back(1e3 * SecondsOf([&] { table = fixture.Build(1); }));
   }
   const auto learning_bytes = static_cast<double>(table->FindService(ServiceId{1})->Bytes());
-  pass &= Print({"flow_table_build_learning" + suffix, Median(learning_ms), "ms", false, 0, false, 0});
-  pass &= Print({"flow_table_bytes_learning" + suffix, learning_bytes, "B", false, 0, false, 0});
+  pass &= Report("flow_table_build_learning" + suffix, Median(learning_ms), "ms");
+  pass &= Report("flow_table_bytes_learning" + suffix, learning_bytes, "B");
   return pass;
 }
 
@@ -125,10 +123,10 @@
     }
   });
   const std::string suffix = "_" + std::to_string(services) + "_services";
-  bool pass = Print({"flow_table_build" + suffix, first_s, "s CPU", false, 0, false, 0});
-  pass &= Print({"flow_table_change_1_of" + suffix, 1e3 * changes_s / kChanges, "ms CPU", false, 0, false, 0});
+  bool pass = Report("flow_table_build" + suffix, first_s, "s CPU");
+  pass &= Report("flow_table_change_1_of" + suffix, 1e3 * changes_s / kChanges, "ms CPU");
   const auto bytes = static_cast<double>(table->Bytes());
-  pass &= Print({"flow_table_bytes" + suffix, bytes, "B", has_bound, has_bound ? 256e6 : 0, false, 0});
+  pass &= Report("flow_table_bytes" + suffix, bytes, "B", has_bound ? std::optional<double>(256e6) : std::nullopt);
   return pass;
 }
 
--- a/bench/flow_faults.cc
+++ b/bench/flow_faults.cc
@@ -7,7 +7,7 @@
 
 #include "fighatch/slot_table.h"
 #include "flow_cluster.h"
-#include "json_line.h"
+#include "report.h"
 
 namespace fighatch::bench {
 namespace {
@@ -96,8 +96,7 @@
     broken += target == targets[flow] && target != TargetId{} ? 0 : 1;
   }
   const std::uint32_t baseline = CountMoved(before, cluster.Table().m_current);
-  return Print(
-      {"flow_broken_" + name, static_cast<double>(broken), "flows", true, 0, true, static_cast<double>(baseline)});
+  return Report("flow_broken_" + name, static_cast<double>(broken), "flows", 0, static_cast<double>(baseline));
 }
 
 /// A rolling restart: each minute one target drains, is gone 30 s later, and is back in the next minute.
@@ -135,10 +134,10 @@
   }
   const double total = static_cast<double>(cluster.Bytes()) / (60.0 * static_cast<double>(minutes));
   const std::string suffix = "_" + std::to_string(100 * new_flows_per_10_ms) + "_new_flows";
-  bool pass = Print({"flow_record_bytes_all_7_balancers" + suffix, total, "B/s", false, 0, false, 0});
-  pass &= Print({"flow_record_bytes_each_balancer" + suffix, total / kBalancers, "B/s", true, 6000, false, 0});
+  bool pass = Report("flow_record_bytes_all_7_balancers" + suffix, total, "B/s");
+  pass &= Report("flow_record_bytes_each_balancer" + suffix, total / kBalancers, "B/s", 6000);
   const double records = static_cast<double>(cluster.RecordsSent()) / (60.0 * static_cast<double>(minutes));
-  return Print({"flow_records_sent" + suffix, records, "1/s", false, 0, false, 0}) && pass;
+  return Report("flow_records_sent" + suffix, records, "1/s") && pass;
 }
 
 }  // namespace
--- a/bench/imbalance.cc
+++ b/bench/imbalance.cc
@@ -2,7 +2,7 @@
 // targets that lie. The value is the greatest time-averaged number of requests in progress of a target in a window of
 // 1 s, over the mean of all targets in that window, averaged over the windows: a momentary maximum over a mean of 1.4
 // would be 1.43 as soon as one target has both slots in use.
-#include "request_report.h"
+#include "report.h"
 #include "request_sim.h"
 
 int main() {
@@ -19,16 +19,14 @@
   const SimResult random = unleased(MakeRandomPick);
   const SimResult round_robin = unleased(MakeRoundRobin);
   const SimResult two_choices = unleased(MakePowerOfTwoChoices);
-  bool pass = PrintResult("request_imbalance_vs_random", leased.m_imbalance, "max/mean", 1.25, random.m_imbalance);
-  pass &=
-      PrintResult("request_imbalance_vs_round_robin", leased.m_imbalance, "max/mean", 1.25, round_robin.m_imbalance);
-  pass &=
-      PrintResult("request_imbalance_vs_two_choices", leased.m_imbalance, "max/mean", 1.25, two_choices.m_imbalance);
-  PrintResult("request_imbalance_whole_run", leased.m_whole_run_imbalance, "max/mean", std::nullopt,
-              two_choices.m_whole_run_imbalance);
-  PrintResult("request_imbalance_without_leases", unleased(MakeLeastInProgress).m_imbalance, "max/mean");
-  PrintResult("request_imbalance_answered_in_time",
-              static_cast<double>(leased.m_answered_in_time) / static_cast<double>(leased.m_offered), "share",
-              std::nullopt, static_cast<double>(random.m_answered_in_time) / static_cast<double>(random.m_offered));
+  bool pass = Report("request_imbalance_vs_random", leased.m_imbalance, "max/mean", 1.25, random.m_imbalance);
+  pass &= Report("request_imbalance_vs_round_robin", leased.m_imbalance, "max/mean", 1.25, round_robin.m_imbalance);
+  pass &= Report("request_imbalance_vs_two_choices", leased.m_imbalance, "max/mean", 1.25, two_choices.m_imbalance);
+  Report("request_imbalance_whole_run", leased.m_whole_run_imbalance, "max/mean", std::nullopt,
+         two_choices.m_whole_run_imbalance);
+  Report("request_imbalance_without_leases", unleased(MakeLeastInProgress).m_imbalance, "max/mean");
+  Report("request_imbalance_answered_in_time",
+         static_cast<double>(leased.m_answered_in_time) / static_cast<double>(leased.m_offered), "share", std::nullopt,
+         static_cast<double>(random.m_answered_in_time) / static_cast<double>(random.m_offered));
   return pass ? 0 : 1;
 }
--- a/bench/overload.cc
+++ b/bench/overload.cc
@@ -1,6 +1,6 @@
 // Goodput and retries at 1x, 2x and 10x of what the targets can serve, with targets that shed 10% and never answer 0.5%
 // of the requests, against a balancer that admits every request and retries without a budget.
-#include "request_report.h"
+#include "report.h"
 #include "request_sim.h"
 
 int main() {
@@ -25,14 +25,14 @@
     const auto share = [](std::uint64_t part, std::uint64_t whole) {
       return static_cast<double>(part) / static_cast<double>(whole);
     };
-    pass &= PrintResult("request_goodput" + suffix, result.m_goodput, "of capacity", 0.8, other.m_goodput,
-                        BoundKind::kAtLeast);
-    pass &= PrintResult("request_retries" + suffix, share(result.m_retries, result.m_requests), "retries/requests",
-                        0.10, share(other.m_retries, other.m_requests));
-    PrintResult("request_not_run" + suffix, share(result.m_not_run, result.m_offered), "share", std::nullopt,
-                share(other.m_not_run, other.m_offered));
-    PrintResult("request_unknown" + suffix, share(result.m_unknown, result.m_offered), "share", std::nullopt,
-                share(other.m_unknown, other.m_offered));
+    pass &=
+        Report("request_goodput" + suffix, result.m_goodput, "of capacity", 0.8, other.m_goodput, BoundKind::kAtLeast);
+    pass &= Report("request_retries" + suffix, share(result.m_retries, result.m_requests), "retries/requests", 0.10,
+                   share(other.m_retries, other.m_requests));
+    Report("request_not_run" + suffix, share(result.m_not_run, result.m_offered), "share", std::nullopt,
+           share(other.m_not_run, other.m_offered));
+    Report("request_unknown" + suffix, share(result.m_unknown, result.m_offered), "share", std::nullopt,
+           share(other.m_unknown, other.m_offered));
   }
   return pass ? 0 : 1;
 }
--- a/bench/report.h
+++ b/bench/report.h
@@ -3,22 +3,28 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <cstdio>
+#include <cstdint>
+#include <iostream>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace fighatch::bench {
 
-/// Prints one result as a JSON object on a line; false if the value exceeds its bound.
-inline bool Report(const std::string& name, double value, const char* unit, std::optional<double> bound = std::nullopt,
-                   std::optional<double> baseline = std::nullopt) {
-  const auto number = [](std::optional<double> of) { return of ? std::to_string(*of) : std::string("null"); };
-  const bool pass = !bound || value <= *bound;
-  std::printf(R"({"name":"%s","value":%g,"unit":"%s","bound":%s,"baseline":%s,"pass":%s})"
-              "\n",
-              name.c_str(), value, unit, number(bound).c_str(), number(baseline).c_str(), pass ? "true" : "false");
-  std::fflush(stdout);
+/// On which side of its bound a value passes.
+enum class BoundKind : std::uint8_t { kAtMost = 0, kAtLeast = 1 };
+
+/// Prints one result as a JSON object on a line; false if the value is on the wrong side of its bound.
+inline bool Report(const std::string& name, double value, const std::string& unit,
+                   std::optional<double> bound = std::nullopt, std::optional<double> baseline = std::nullopt,
+                   BoundKind kind = BoundKind::kAtMost) {
+  const bool pass = !bound || (kind == BoundKind::kAtMost ? value <= *bound : value >= *bound);
+  const auto number = [](const std::optional<double>& of) { return of ? nlohmann::json(*of) : nlohmann::json(); };
+  const nlohmann::ordered_json line = {
+      {"name", name}, {"value", value}, {"unit", unit}, {"bound", number(bound)}, {"baseline", number(baseline)},
+      {"pass", pass}};
+  std::cout << line.dump() << std::endl;
   return pass;
 }
 
--- a/bench/request_cost.cc
+++ b/bench/request_cost.cc
@@ -5,7 +5,7 @@
 #include <ctime>
 
 #include "../tests/request_fakes.h"
-#include "request_report.h"
+#include "report.h"
 
 namespace {
 
@@ -46,10 +46,10 @@
     for (int count = 0; count < kMeasured; ++count) RunOne(fixture, codec, counter++, true);
     const double resend = (CpuSeconds() - resend_start) * 1e6 / kMeasured - cpu;
     const std::string suffix = "_" + std::to_string(entries);
-    bench::PrintResult("request_cpu" + suffix, cpu, "us/request");
-    bench::PrintResult("request_resend_cpu" + suffix, resend, "us/resend");
-    pass &= bench::PrintResult("request_cpu_growth" + suffix, cpu / first_cpu.value_or(cpu), "ratio to 1000", 2.0);
-    pass &= bench::PrintResult("journal_entry" + suffix, bytes, "bytes/entry", 1024);
+    bench::Report("request_cpu" + suffix, cpu, "us/request");
+    bench::Report("request_resend_cpu" + suffix, resend, "us/resend");
+    pass &= bench::Report("request_cpu_growth" + suffix, cpu / first_cpu.value_or(cpu), "ratio to 1000", 2.0);
+    pass &= bench::Report("journal_entry" + suffix, bytes, "bytes/entry", 1024);
     if (!first_cpu) first_cpu = cpu;
   }
   return pass ? 0 : 1;
--- a/bench/request_faults.cc
+++ b/bench/request_faults.cc
@@ -1,7 +1,7 @@
 // Double records and false refusals over a run in which balancers die, start again and stop as planned while targets
 // misbehave and the network loses, repeats and delays messages.
 #include "../tests/request_world.h"
-#include "request_report.h"
+#include "report.h"
 
 int main() {
   using namespace fighatch;           // NOLINT(google-build-using-namespace): program of one file.
@@ -25,12 +25,12 @@
   }
   world.Settle();
   const auto& oracle = world.m_oracle;
-  bool pass = bench::PrintResult("request_double_records", static_cast<double>(oracle.DoubleRecords()), "requests", 0);
-  pass &= bench::PrintResult("request_false_refusals", static_cast<double>(oracle.FalseRefusals()), "requests", 0);
-  pass &= bench::PrintResult("request_oracle_failures", static_cast<double>(oracle.Verdict().size()), "failures", 0);
-  bench::PrintResult("request_faults_injected", faults, "deaths and stops");
+  bool pass = bench::Report("request_double_records", static_cast<double>(oracle.DoubleRecords()), "requests", 0);
+  pass &= bench::Report("request_false_refusals", static_cast<double>(oracle.FalseRefusals()), "requests", 0);
+  pass &= bench::Report("request_oracle_failures", static_cast<double>(oracle.Verdict().size()), "failures", 0);
+  bench::Report("request_faults_injected", faults, "deaths and stops");
   for (const auto& [outcome, count] : oracle.Outcomes()) {
-    bench::PrintResult("request_answers_" + outcome, static_cast<double>(count), "answers");
+    bench::Report("request_answers_" + outcome, static_cast<double>(count), "answers");
   }
   return pass ? 0 : 1;
 }
