Parse HTTP queries in one place

Cause: the control host and the balancer each had a ParseQuery of their own. Change: src/daemon/http_query.h serves both. Where a field stands twice in a query to a balancer's explain, the first one counts now, as on the control host. Conclusion: doubled logic removed.

--- a/programs/balancer/balancer_http.cc
+++ b/programs/balancer/balancer_http.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "balancer.h"
+#include "daemon/http_query.h"
 
 namespace fighatch::balancer {
 namespace {
@@ -14,20 +15,6 @@
   return {200, {{"Content-Type", "application/json"}}, body.dump(1) + "\n"};
 }
 
-std::map<std::string, std::string> ParseQuery(const std::string& query) {
-  std::map<std::string, std::string> fields;
-  std::size_t start = 0;
-  while (start < query.size()) {
-    std::size_t end = query.find('&', start);
-    if (end == std::string::npos) end = query.size();
-    const std::string field = query.substr(start, end - start);
-    const std::size_t equals = field.find('=');
-    if (equals != std::string::npos) fields[field.substr(0, equals)] = field.substr(equals + 1);
-    start = end + 1;
-  }
-  return fields;
-}
-
 const char* KindName(DecisionKind kind) {
   static constexpr const char* kNames[] = {"drop", "target", "balancer", "reset", "request"};
   return kNames[static_cast<std::size_t>(kind)];
@@ -109,7 +96,7 @@
 }
 
 HttpResponse Balancer::Explain(const std::string& query) {
-  std::map<std::string, std::string> fields = ParseQuery(query);
+  std::map<std::string, std::string> fields = daemon::ParseQuery(query);
   const Result<Endpoint> source = ParseEndpoint(fields["source"]);
   const Result<Endpoint> destination = ParseEndpoint(fields["destination"]);
   if (!IsOk(source) || !IsOk(destination)) {
--- a/src/daemon/control_http.cc
+++ b/src/daemon/control_http.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "daemon/http_query.h"
 #include "fighatch/state_delta.h"
 #include "state/state_json.h"
 
@@ -58,18 +59,6 @@
   return error == std::errc() && end == text.data() + text.size();
 }
 
-std::map<std::string, std::string> ParseQuery(std::string_view query) {
-  std::map<std::string, std::string> parameters;
-  while (!query.empty()) {
-    const std::string_view pair = query.substr(0, query.find('&'));
-    query.remove_prefix(std::min(query.size(), pair.size() + 1));
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) continue;
-    parameters.emplace(pair.substr(0, equals), pair.substr(equals + 1));
-  }
-  return parameters;
-}
-
 std::int64_t AgeMs(steady_clock::time_point since) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - since).count();
 }
