Serve latency histograms; read changed settings files without a signal

Change: LatencyHistogram and Metrics::AddHistogram; balancers count handling of a batch, opening, flow and waiting times, control hosts order, confirmation and persist times. SettingsWatch compares the file's state on each follow round; a change is read as after SIGHUP.

Ruled out: inotify, which the platform refuses; a timer of its own, since the follow loop already runs twice a second.

--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -47,6 +47,10 @@
   /// Priority of the packet's route, for packets that wait.
   std::uint32_t m_priority = 0;
   bool m_placed = false;
+  /// Set on the packet that shows that the target took the flow: the time since the flow was placed.
+  std::optional<Duration> m_opened_after;
+  /// Set on the client's last packet of a flow: the time since the flow was placed.
+  std::optional<Duration> m_closed_after;
 };
 
 /// Settings of a `CookieSteering`.
@@ -122,6 +126,8 @@
 
   [[nodiscard]] SteeringDecision Place(TimePoint now, const CookiePacket& packet);
   [[nodiscard]] SteeringDecision Follow(TimePoint now, const CookiePacket& packet);
+  // Notes a packet of a flow that was placed here; sets the times in the decision.
+  void NoteProgress(TimePoint now, const CookiePacket& packet, SteeringTarget* target, SteeringDecision* decision);
   [[nodiscard]] const std::string& PickService(const Route& route);
   [[nodiscard]] std::vector<SteeringTarget*> Candidates(TimePoint now, const std::string& service,
                                                         const SteeringTarget* tried);
--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -105,7 +105,9 @@
 }
 
 void LogReplica::PersistOrExit(const std::function<Status()>& call) {
+  const auto started = steady_clock::now();
   const Status status = m_worker.Run(call);
+  m_persist_latency.Add(steady_clock::now() - started);
   if (IsOk(status)) return;
   LOG(ERROR) << "event=storage_failed " << ToString(ErrorOf(status)) << " next=\"the process stops\"";
   ExitOnStorageError();
--- a/src/daemon/log_replica.h
+++ b/src/daemon/log_replica.h
@@ -22,6 +22,7 @@
 #include "fighatch/log_storage.h"
 #include "fighatch/raft_node.h"
 #include "io/reactor.h"
+#include "observe/latency_histogram.h"
 
 namespace fighatch::daemon {
 
@@ -70,6 +71,9 @@
   [[nodiscard]] const RaftNode& Node() const noexcept { return m_node; }
   [[nodiscard]] LogIndex AppliedIndex() const noexcept { return m_applied; }
 
+  /// How long writes to the storage took, syncs included.
+  [[nodiscard]] const observe::LatencyHistogram& PersistLatency() const noexcept { return m_persist_latency; }
+
   /// The clock of the log's leases: it goes on while the host is suspended, so that a host that wakes up finds its
   /// lease ended.
   [[nodiscard]] static TimePoint Now();
@@ -103,6 +107,7 @@
   ChangeObserver m_observer;
   BlockingWorker m_worker;
   RaftNode m_node;
+  observe::LatencyHistogram m_persist_latency;
   LogIndex m_applied = 0;
   LogIndex m_snapshot_index = 0;
   std::size_t m_bytes_since_snapshot = 0;
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -77,6 +77,7 @@
                                    const PacketCodec* codec)
     : m_settings(std::move(settings)),
       m_settings_path(std::move(settings_path)),
+      m_settings_watch(m_settings_path),
       m_codec(codec),
       m_steering(MakeSteeringOptions(m_settings), MakeSampledExpectedTimeChoice(Random(RandomBits()), kChoiceSamples),
                  Random(RandomBits())),
@@ -150,6 +151,7 @@
   m_resets.reserve(batch.size());
   for (const io::IncomingDatagram& datagram : batch) HandlePacket(now, datagram);
   if (!m_outgoing.empty()) m_packets->Send(m_outgoing);
+  m_latencies.m_batch.Add(LogReplica::Now() - now);
 }
 
 void SteeringBalancer::HandlePacket(TimePoint now, const io::IncomingDatagram& datagram) {
@@ -173,6 +175,8 @@
     case SteeringAction::kForward:
       ++m_counters.m_forwarded;
       m_counters.m_placed += decision.m_placed ? 1 : 0;
+      if (decision.m_opened_after) m_latencies.m_open.Add(*decision.m_opened_after);
+      if (decision.m_closed_after) m_latencies.m_flow.Add(*decision.m_closed_after);
       m_outgoing.push_back({decision.m_endpoint, m_codec->Encapsulate(bytes, decision.m_target, decision.m_cookie)});
       break;
     case SteeringAction::kReset:
@@ -221,6 +225,7 @@
       released.pop_back();
       break;
     }
+    m_latencies.m_wait.Add(now - packet.m_since);
     Act(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
     --budget;
   }
@@ -238,6 +243,7 @@
   refused.m_reason = ErrorCode::kRequestOverloaded;
   for (WaitingPacket& packet : m_waiting.TakeBeyond(m_steering.WaitingLimit(now))) {
     ++m_counters.m_refused_waiting;
+    m_latencies.m_wait.Add(now - packet.m_since);
     Act(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), refused);
   }
 }
@@ -326,13 +332,17 @@
     m_steering.Tick(now);
     NoteStranding(now);
     LogContact(now);
-    if (!m_sync.HearsAny(now) && steady_clock::now() - m_last_reload > kReloadWithoutContact) {
-      ReloadSettings("no_contact");
-    }
+    ReloadIfNeeded(now);
     boost::this_fiber::sleep_for(m_sync.IsCurrent(now) && !m_stranded ? kFollowInterval : kSearchInterval);
   }
 }
 
+void SteeringBalancer::ReloadIfNeeded(TimePoint now) {
+  if (m_settings_watch.TakeChange()) return ReloadSettings("file_changed");
+  const bool is_due = steady_clock::now() - m_last_reload > kReloadWithoutContact;
+  if (is_due && !m_sync.HearsAny(now)) ReloadSettings("no_contact");
+}
+
 void SteeringBalancer::LogContact(TimePoint now) {
   const bool is_current = m_sync.IsCurrent(now);
   if (is_current != m_was_current) {
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -10,6 +10,7 @@
 
 #include "config/steering_balancer_settings.h"
 #include "daemon/packet_codec.h"
+#include "daemon/settings_watch.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/admission_queue.h"
 #include "fighatch/cookie_steering.h"
@@ -17,6 +18,7 @@
 #include "io/http_server.h"
 #include "io/plain_message_socket.h"
 #include "io/udp_socket.h"
+#include "observe/latency_histogram.h"
 #include "observe/line_budget.h"
 #include "observe/metrics.h"
 
@@ -34,6 +36,18 @@
   std::uint64_t m_refused_waiting = 0;
 };
 
+/// Latencies of a balancer that steers by cookies.
+struct SteeringLatencies {
+  /// Decisions on the packets that were read together, until they are sent.
+  observe::LatencyHistogram m_batch;
+  /// From placing a flow to the packet that shows that its target took it.
+  observe::LatencyHistogram m_open;
+  /// From placing a flow to the client's last packet.
+  observe::LatencyHistogram m_flow;
+  /// Opening packets that waited, until they were placed or refused.
+  observe::LatencyHistogram m_wait;
+};
+
 /// The daemon around a `CookieSteering`: takes packets, follows the control hosts, and tells the other balancers of its
 /// load. All of it runs in fibers of the thread that calls `Run`.
 class SteeringBalancer {
@@ -64,6 +78,7 @@
   void ServeMessages();
   void HandleReply(TimePoint now, const SyncReply& reply);
   void FollowControl();
+  void ReloadIfNeeded(TimePoint now);
   void ReportLoad();
   [[nodiscard]] std::vector<HostId> ReportReceivers() const;
   void AwaitStop(StopSignal* stop);
@@ -75,6 +90,7 @@
 
   config::SteeringBalancerSettings m_settings;
   std::string m_settings_path;
+  SettingsWatch m_settings_watch;
   const PacketCodec* m_codec;
   CookieSteering m_steering;
   SyncClient m_sync;
@@ -85,6 +101,7 @@
   observe::Metrics m_metrics;
   observe::LineBudget m_lines;
   SteeringCounters m_counters;
+  SteeringLatencies m_latencies;
   std::vector<io::OutgoingDatagram> m_outgoing;
   std::vector<std::vector<std::byte>> m_resets;
   std::chrono::steady_clock::time_point m_last_packet;
--- a/src/daemon/steering_balancer_metrics.cc
+++ b/src/daemon/steering_balancer_metrics.cc
@@ -21,6 +21,14 @@
                      [this] { return static_cast<double>(m_steering.State().m_index); });
   m_metrics.AddGauge("fighatch_steering_ready", "1 while the balancer should get packets.", {},
                      [this] { return IsReady() ? 1.0 : 0.0; });
+  const auto histogram = [this](const char* name, const char* help, const observe::LatencyHistogram& latencies) {
+    m_metrics.AddHistogram(name, help, {}, &latencies);
+  };
+  histogram("fighatch_steering_batch_seconds", "Handling of packets that were read together.", m_latencies.m_batch);
+  histogram("fighatch_steering_open_seconds", "From placing a flow to the packet that shows that its target took it.",
+            m_latencies.m_open);
+  histogram("fighatch_steering_flow_seconds", "From placing a flow to the client's last packet.", m_latencies.m_flow);
+  histogram("fighatch_steering_wait_seconds", "Waiting of opening packets.", m_latencies.m_wait);
   const io::PlainMessageCounters& messages = m_messages->Counters();
   counter("fighatch_steering_messages_sent_total", "Messages sent to other hosts.", messages.m_sent);
   counter("fighatch_steering_message_bytes_sent_total", "Bytes of messages sent.", messages.m_sent_bytes);
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -88,6 +88,7 @@
                                  const DocumentReader* reader)
     : m_settings(std::move(settings)),
       m_settings_path(std::move(settings_path)),
+      m_settings_watch(m_settings_path),
       m_reader(reader),
       m_machine(reader),
       m_directory(MakeDirectoryOptions(m_settings)),
@@ -171,7 +172,9 @@
 
 Status SteeringControl::SubmitOrder(const RoutingOrder& order) {
   ++m_counters.m_orders;
+  const auto started = steady_clock::now();
   const Result<std::any> submitted = m_log->Submit(EncodeRoutingOrder(order));
+  m_order_latency.Add(steady_clock::now() - started);
   if (!IsOk(submitted)) {
     ++m_counters.m_orders_refused;
     return ErrorOf(submitted);
@@ -256,6 +259,7 @@
   const auto deadline = steady_clock::now() + kConfirmationTimeout;
   std::unique_lock<boost::fibers::mutex> lock(m_mutex);
   const bool confirmed = m_confirmed.wait_until(lock, deadline, [&] { return IsConfirmed(sequence); });
+  m_confirmation_latency.Add(steady_clock::now() - (deadline - kConfirmationTimeout));
   return confirmed ? OkStatus() : Status(MakeError(ErrorCode::kTicketNoQuorum, "no majority confirms the target"));
 }
 
@@ -326,7 +330,7 @@
              EncodeSyncRequest(request));
     }
     const bool in_contact = m_log->IsInContact();
-    if (!in_contact && steady_clock::now() - m_last_reload > kReloadWithoutContact) ReloadSettings("no_contact");
+    ReloadIfNeeded(in_contact);
     boost::this_fiber::sleep_for(in_contact ? kFollowInterval : kSearchInterval);
   }
 }
@@ -357,6 +361,12 @@
   PushChanges();
 }
 
+void SteeringControl::ReloadIfNeeded(bool in_contact) {
+  if (m_settings_watch.TakeChange()) return ReloadSettings("file_changed");
+  const bool is_due = steady_clock::now() - m_last_reload > kReloadWithoutContact;
+  if (is_due && !in_contact) ReloadSettings("no_contact");
+}
+
 void SteeringControl::ReloadSettings(std::string_view cause) {
   m_last_reload = steady_clock::now();
   ReloadSeeds(m_settings_path, config::ParseSteeringControlSettings, cause, &m_settings.m_discovery);
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -14,6 +14,7 @@
 #include "daemon/blocking_worker.h"
 #include "daemon/control_service.h"
 #include "daemon/log_replica.h"
+#include "daemon/settings_watch.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/file_log_storage.h"
 #include "fighatch/routing_log.h"
@@ -25,6 +26,7 @@
 #include "io/plain_message_socket.h"
 #include "io/posix_directory.h"
 #include "io/synced_file_store.h"
+#include "observe/latency_histogram.h"
 #include "observe/line_budget.h"
 #include "observe/metrics.h"
 
@@ -97,12 +99,14 @@
   void ExpireTargets(TimePoint now);
   void LoadTargets();
   void SaveTargets();
+  void ReloadIfNeeded(bool in_contact);
   void ReloadSettings(std::string_view cause);
   void AddMetrics();
   void SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload);
 
   config::SteeringControlSettings m_settings;
   std::string m_settings_path;
+  SettingsWatch m_settings_watch;
   const DocumentReader* m_reader;
   RoutingMachine m_machine;
   TargetDirectory m_directory;
@@ -121,6 +125,8 @@
   observe::Metrics m_metrics;
   observe::LineBudget m_lines;
   SteeringControlCounters m_counters;
+  observe::LatencyHistogram m_order_latency;
+  observe::LatencyHistogram m_confirmation_latency;
   Receiver m_log_receiver;
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_confirmed;
--- a/src/daemon/steering_control_metrics.cc
+++ b/src/daemon/steering_control_metrics.cc
@@ -11,6 +11,12 @@
   counter("fighatch_control_announcements_total", "Announcements of targets.", m_counters.m_announcements);
   counter("fighatch_control_announcements_refused_total", "Announcements not confirmed.",
           m_counters.m_announcements_refused);
+  m_metrics.AddHistogram("fighatch_control_order_seconds", "From submitting an order to its outcome.", {},
+                         &m_order_latency);
+  m_metrics.AddHistogram("fighatch_control_confirmation_seconds",
+                         "From an announcement to its confirmation by a majority.", {}, &m_confirmation_latency);
+  m_metrics.AddHistogram("fighatch_control_persist_seconds", "Writes to the log, syncs included.", {},
+                         &m_log->PersistLatency());
   m_metrics.AddGauge("fighatch_control_is_leader", "1 on the leader of the log.", {},
                      [this] { return m_log->Node().Role() == RaftRole::kLeader ? 1.0 : 0.0; });
   m_metrics.AddGauge("fighatch_control_commit_index", "Index of the last accepted entry.", {},
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -5,17 +5,22 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <limits>
 #include <mutex>
 #include <sstream>
 #include <utility>
 #include <vector>
 
+#include "observe/latency_histogram.h"
+
 namespace fighatch::observe {
 namespace {
 
 struct Series {
   Labels m_labels;
   ValueReader m_read;
+  // Set instead of `m_read` for histograms.
+  const LatencyHistogram* m_histogram = nullptr;
 };
 
 struct Family {
@@ -25,10 +30,26 @@
   std::vector<Series> m_series;
 };
 
+prometheus::ClientMetric::Histogram ToHistogram(const LatencyHistogram& histogram) {
+  prometheus::ClientMetric::Histogram result;
+  result.sample_count = histogram.Count();
+  result.sample_sum = histogram.SumSeconds();
+  std::uint64_t cumulative = 0;
+  for (std::size_t bucket = 0; bucket < LatencyHistogram::kUpperBounds.size(); ++bucket) {
+    cumulative += histogram.CountIn(bucket);
+    const double bound = std::chrono::duration<double>(LatencyHistogram::kUpperBounds[bucket]).count();
+    result.bucket.push_back({cumulative, bound});
+  }
+  result.bucket.push_back({histogram.Count(), std::numeric_limits<double>::infinity()});
+  return result;
+}
+
 prometheus::ClientMetric ToClientMetric(const Series& series, prometheus::MetricType type) {
   prometheus::ClientMetric metric;
   for (const auto& [name, value] : series.m_labels) metric.label.push_back({name, value});
-  if (type == prometheus::MetricType::Counter) {
+  if (series.m_histogram != nullptr) {
+    metric.histogram = ToHistogram(*series.m_histogram);
+  } else if (type == prometheus::MetricType::Counter) {
     metric.counter.value = series.m_read();
   } else {
     metric.gauge.value = series.m_read();
@@ -82,6 +103,11 @@
   m_impl->Add(name, help, prometheus::MetricType::Gauge, {labels, std::move(read)});
 }
 
+void Metrics::AddHistogram(const std::string& name, const std::string& help, const Labels& labels,
+                           const LatencyHistogram* histogram) {
+  m_impl->Add(name, help, prometheus::MetricType::Histogram, {labels, nullptr, histogram});
+}
+
 std::string Metrics::Render() const { return m_impl->Render(); }
 
 }  // namespace fighatch::observe
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -8,6 +8,8 @@
 
 namespace fighatch::observe {
 
+class LatencyHistogram;
+
 /// Label names and values of a metric. Values must come from a small fixed set.
 using Labels = std::map<std::string, std::string>;
 
@@ -35,6 +37,11 @@
   /// Adds a value that may fall.
   void AddGauge(const std::string& name, const std::string& help, const Labels& labels, ValueReader read);
 
+  /// Adds a histogram of durations in seconds; `histogram` must outlive this object and be filled by the thread that
+  /// renders.
+  void AddHistogram(const std::string& name, const std::string& help, const Labels& labels,
+                    const LatencyHistogram* histogram);
+
   /// The page for `GET /metrics`.
   [[nodiscard]] std::string Render() const;
 
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -90,22 +90,31 @@
   if (packet.m_cookie == 0) return Refuse(SteeringAction::kDrop, ErrorCode::kPacketNoTarget);
   SteeringTarget* target = m_targets.FindByCookie(packet.m_cookie);
   if (target == nullptr) return Refuse(SteeringAction::kDrop, ErrorCode::kPacketNoTarget);
-  if (LedgerFlow* flow = m_flows.Find(packet.m_ends); flow != nullptr) {
-    if (!flow->m_established && flow->m_target == target->m_record.m_id) {
-      flow->m_established = true;
-      if (target->m_opening_flows > 0) --target->m_opening_flows;
-      NoteAnswered(target);
-    }
-    flow->m_last_packet = now;
-    SetCounted(flow, true);
-    if (packet.m_closing) NoteEnd(now, *m_flows.Take(packet.m_ends), true);
-  }
+  SteeringDecision decision = ForwardTo(*target);
+  NoteProgress(now, packet, target, &decision);
   const bool said_end = target->m_record.m_state == RecordState::kGone && now - target->m_state_since > kEndGrace;
   if (said_end || m_targets.IsSuperseded(*target)) {
     // The target has certainly ended, so a reset lets the client try again at once.
     return Refuse(SteeringAction::kReset, ErrorCode::kPacketTargetEnded);
   }
-  return ForwardTo(*target);
+  return decision;
+}
+
+void CookieSteering::NoteProgress(TimePoint now, const CookiePacket& packet, SteeringTarget* target,
+                                  SteeringDecision* decision) {
+  LedgerFlow* flow = m_flows.Find(packet.m_ends);
+  if (flow == nullptr) return;
+  if (!flow->m_established && flow->m_target == target->m_record.m_id) {
+    flow->m_established = true;
+    if (target->m_opening_flows > 0) --target->m_opening_flows;
+    NoteAnswered(target);
+    decision->m_opened_after = now - flow->m_placed;
+  }
+  flow->m_last_packet = now;
+  SetCounted(flow, true);
+  if (!packet.m_closing) return;
+  decision->m_closed_after = now - flow->m_placed;
+  NoteEnd(now, *m_flows.Take(packet.m_ends), true);
 }
 
 SteeringDecision CookieSteering::Place(TimePoint now, const CookiePacket& packet) {
--- a/tests/observe_test.cc
+++ b/tests/observe_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "observe/latency_histogram.h"
 #include "observe/metrics.h"
 #include "observe/trace_context.h"
 #include "observe/tracer.h"
@@ -26,6 +27,27 @@
             "# HELP fighatch_b Other.\n# TYPE fighatch_b gauge\nfighatch_b 0.5\n");
 }
 
+// Guards against latency that a Prometheus server cannot evaluate: buckets must be cumulative, in seconds, and end with
+// one without a bound that equals the count.
+TEST(MetricsTest, RendersHistograms) {
+  LatencyHistogram histogram;
+  histogram.Add(std::chrono::milliseconds(-1));
+  histogram.Add(std::chrono::milliseconds(5));
+  histogram.Add(std::chrono::milliseconds(6));
+  histogram.Add(std::chrono::seconds(60));
+  Metrics metrics;
+  metrics.AddHistogram("fighatch_c_seconds", "Latency.", {{"kind", "x"}}, &histogram);
+  const std::string page = metrics.Render();
+  const auto has = [&page](const std::string& line) { return page.find(line + "\n") != std::string::npos; };
+  EXPECT_TRUE(has("# TYPE fighatch_c_seconds histogram")) << page;
+  EXPECT_TRUE(has("fighatch_c_seconds_bucket{kind=\"x\",le=\"0.0001\"} 1")) << page;
+  EXPECT_TRUE(has("fighatch_c_seconds_bucket{kind=\"x\",le=\"0.005\"} 2")) << page;
+  EXPECT_TRUE(has("fighatch_c_seconds_bucket{kind=\"x\",le=\"0.01\"} 3")) << page;
+  EXPECT_TRUE(has("fighatch_c_seconds_bucket{kind=\"x\",le=\"5\"} 3")) << page;
+  EXPECT_TRUE(has("fighatch_c_seconds_bucket{kind=\"x\",le=\"+Inf\"} 4")) << page;
+  EXPECT_TRUE(has("fighatch_c_seconds_count{kind=\"x\"} 4")) << page;
+}
+
 // Guards against callers' header text reaching the trace file unchecked.
 TEST(TraceContextTest, RefusesMalformedHeaders) {
   EXPECT_TRUE(ParseTraceparent(kParent));
--- /dev/null
+++ b/tests/settings_watch_test.cc
@@ -0,0 +1,52 @@
+#include "daemon/settings_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+namespace fighatch::daemon {
+namespace {
+
+class SettingsWatchTest : public testing::Test {
+ protected:
+  ~SettingsWatchTest() override { std::remove(m_path.c_str()); }
+
+  void Write(const std::string& text) const { std::ofstream(m_path) << text; }
+
+  const std::string m_path = testing::TempDir() + "fighatch_settings_watch_test.json";
+};
+
+// Guards against settings that change without a signal and are never read again.
+TEST_F(SettingsWatchTest, NoticesAChangeOnce) {
+  Write("{}");
+  SettingsWatch watch(m_path);
+  EXPECT_FALSE(watch.TakeChange());
+  Write("{ }");
+  EXPECT_TRUE(watch.TakeChange());
+  EXPECT_FALSE(watch.TakeChange());
+}
+
+// Guards against a file that is replaced by one of the same size and goes unnoticed.
+TEST_F(SettingsWatchTest, NoticesAReplacedFile) {
+  Write("{}");
+  SettingsWatch watch(m_path);
+  const std::string other = m_path + ".new";
+  std::ofstream(other) << "[]";
+  ASSERT_EQ(std::rename(other.c_str(), m_path.c_str()), 0);
+  EXPECT_TRUE(watch.TakeChange());
+}
+
+// Guards against a reload of nothing while a file is being replaced, and against missing the file that follows.
+TEST_F(SettingsWatchTest, WaitsForAMissingFile) {
+  Write("{}");
+  SettingsWatch watch(m_path);
+  std::remove(m_path.c_str());
+  EXPECT_FALSE(watch.TakeChange());
+  Write("{ }");
+  EXPECT_TRUE(watch.TakeChange());
+}
+
+}  // namespace
+}  // namespace fighatch::daemon
