Serve callers that can still be in time before those that cannot

Cause: after an outage of all hosts, new callers stayed late for 1.5 s.

Ruled out: lost capacity (targets were busy all the time), elections (the state was known 0.3 s after the first balancer started).

Change: routes carry the time objective of their requests, opening packets their age. A packet that is late already fills a target only to 1.5 times its slots; among late packets the oldest goes first; the release respects the room of targets from the start; a service without room no longer keeps packets to other services waiting.

--- a/include/fighatch/admission_queue.h
+++ b/include/fighatch/admission_queue.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -17,17 +18,20 @@
   CookiePacket m_packet;
   /// 0 is served first.
   std::uint32_t m_priority = 0;
-  /// When the first copy arrived.
+  /// When the client sent the first copy.
   TimePoint m_since;
   /// The packet's bytes behind unused headroom.
   std::vector<std::byte> m_bytes;
+  /// Until when its answer can be in time; unset if that is not known.
+  std::optional<TimePoint> m_in_time_until;
 };
 
 /// Opening packets that wait for a target: after a start until targets are known, and when all targets have as much as
 /// they can take. Answers the load pattern of many callers that return at once, after an outage or in a burst.
 ///
 /// Among equal priorities the newest packet goes first: under a backlog it still gets its answer in time, whereas the
-/// oldest ones are late already. So new callers do not pay for the backlog, which is served with what capacity is left.
+/// oldest ones are late already. So new callers do not pay for the backlog. Among packets that are all late the oldest
+/// goes first, since its client gives up next.
 class AdmissionQueue {
  public:
   static constexpr std::size_t kMaxPackets = 2048;
@@ -37,8 +41,9 @@
   /// Adds a packet; a copy of a waiting one takes its place, with the time of the first.
   void Put(WaitingPacket packet);
 
-  /// Removes and returns the packet to serve next; empty if none waits.
-  [[nodiscard]] std::optional<WaitingPacket> TakeNext();
+  /// Removes and returns the packet to serve next, leaving out those to the `blocked` addresses; empty if there is
+  /// none.
+  [[nodiscard]] std::optional<WaitingPacket> TakeNext(TimePoint now, const std::set<Endpoint>& blocked = {});
 
   /// Removes packets that the client has given up.
   void Expire(TimePoint now);
@@ -50,7 +55,7 @@
   [[nodiscard]] std::size_t Size() const noexcept { return m_packets.size(); }
 
  private:
-  // The packet to serve next is the last one.
+  // By descending priority value, then by time: the last packet is the newest of the most urgent ones.
   std::vector<WaitingPacket> m_packets;
 };
 
--- a/include/fighatch/cookie_packet.h
+++ b/include/fighatch/cookie_packet.h
@@ -6,6 +6,7 @@
 #include <functional>
 
 #include "fighatch/address.h"
+#include "fighatch/time.h"
 
 namespace fighatch {
 
@@ -26,6 +27,8 @@
   bool m_closing = false;
   /// For an opening packet: how many copies of it were sent before.
   std::uint32_t m_copy = 0;
+  /// For an opening packet: how long before it the client sent the first copy.
+  Duration m_age{0};
   /// The last cookie that the client received on the flow; 0 if none.
   std::uint32_t m_cookie = 0;
 };
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -44,8 +44,10 @@
   /// For logs: flows known at the target when a new flow was placed there, and how many targets could be chosen.
   std::uint32_t m_flows_at_target = 0;
   std::uint32_t m_candidates = 0;
-  /// Priority of the packet's route, for packets that wait.
+  /// For packets that wait: priority of the packet's route, and until when its answer can be in time; unset if the
+  /// route has no objective or is not known yet.
   std::uint32_t m_priority = 0;
+  std::optional<TimePoint> m_in_time_until;
   bool m_placed = false;
   /// Set on the packet that shows that the target took the flow: the time since the flow was placed.
   std::optional<Duration> m_opened_after;
@@ -79,6 +81,10 @@
   CookieSteering(const SteeringOptions& options, std::unique_ptr<ChoiceStrategy> choice, Random random);
 
   [[nodiscard]] SteeringDecision Steer(TimePoint now, const CookiePacket& packet);
+  /// Steers an opening packet that has waited; `asked` is when the client sent the first copy.
+  [[nodiscard]] SteeringDecision SteerWaiting(TimePoint now, const CookiePacket& packet, TimePoint asked) {
+    return Place(now, packet, asked);
+  }
 
   /// Follows the published state; older updates change nothing. Returns true if the update was taken.
   bool Update(TimePoint now, const RoutingUpdate& update);
@@ -124,7 +130,7 @@
     TimePoint m_avoid_until;
   };
 
-  [[nodiscard]] SteeringDecision Place(TimePoint now, const CookiePacket& packet);
+  [[nodiscard]] SteeringDecision Place(TimePoint now, const CookiePacket& packet, TimePoint asked);
   [[nodiscard]] SteeringDecision Follow(TimePoint now, const CookiePacket& packet);
   // Notes a packet of a flow that was placed here; sets the times in the decision.
   void NoteProgress(TimePoint now, const CookiePacket& packet, SteeringTarget* target, SteeringDecision* decision);
--- a/include/fighatch/routing_state.h
+++ b/include/fighatch/routing_state.h
@@ -31,12 +31,14 @@
   std::vector<WeightedService> m_services;
   /// Which flows go first when not all can be served; 0 goes first.
   std::uint32_t m_priority = 0;
+  /// In milliseconds: a request that takes longer is of less use to the caller. 0 if nothing is known of it.
+  std::uint32_t m_objective_ms = 0;
 
   friend bool operator==(const Route&, const Route&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_address, m_services, m_priority);
+    archive(m_address, m_services, m_priority, m_objective_ms);
   }
 };
 
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <set>
 #include <utility>
 
 #include "daemon/log_replica.h"
@@ -164,7 +165,7 @@
   }
   const SteeringDecision decision = m_steering.Steer(now, ValueOf(packet));
   if (decision.m_action == SteeringAction::kHold) {
-    Wait(now, ValueOf(packet), datagram.m_bytes, decision.m_priority);
+    Wait(now, ValueOf(packet), datagram.m_bytes, decision);
     return;
   }
   Act(ValueOf(packet), datagram.m_bytes, decision);
@@ -194,8 +195,9 @@
 }
 
 void SteeringBalancer::Wait(TimePoint now, const CookiePacket& packet, std::span<const std::byte> bytes,
-                            std::uint32_t priority) {
-  WaitingPacket waiting{packet, priority, now, std::vector<std::byte>(PacketCodec::kHeadroomBytes)};
+                            const SteeringDecision& decision) {
+  WaitingPacket waiting{packet, decision.m_priority, now - packet.m_age,
+                        std::vector<std::byte>(PacketCodec::kHeadroomBytes), decision.m_in_time_until};
   waiting.m_bytes.insert(waiting.m_bytes.end(), bytes.begin(), bytes.end());
   m_waiting.Put(std::move(waiting));
   ++m_counters.m_waited;
@@ -214,21 +216,29 @@
   m_resets.clear();
   m_resets.reserve(m_waiting.Size());
   std::vector<WaitingPacket> released;
+  std::vector<WaitingPacket> held;
+  // Services without room must not keep packets to others waiting.
+  std::set<Endpoint> blocked;
   std::size_t budget = m_steering.ReleaseBudget(now);
-  while (budget > 0 && m_waiting.Size() > 0) {
-    released.push_back(std::move(*m_waiting.TakeNext()));
+  while (budget > 0) {
+    std::optional<WaitingPacket> next = m_waiting.TakeNext(now, blocked);
+    if (!next) break;
+    released.push_back(std::move(*next));
     WaitingPacket& packet = released.back();
-    const SteeringDecision decision = m_steering.Steer(now, packet.m_packet);
+    const SteeringDecision decision = m_steering.SteerWaiting(now, packet.m_packet, packet.m_since);
     if (decision.m_action == SteeringAction::kHold) {
       packet.m_priority = decision.m_priority;
-      m_waiting.Put(std::move(packet));
+      packet.m_in_time_until = decision.m_in_time_until;
+      blocked.insert(packet.m_packet.m_ends.m_service);
+      held.push_back(std::move(packet));
       released.pop_back();
-      break;
+      continue;
     }
     m_latencies.m_wait.Add(now - packet.m_since);
     Act(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
     --budget;
   }
+  for (WaitingPacket& packet : held) m_waiting.Put(std::move(packet));
   RefuseBeyondLimit(now);
   if (!m_outgoing.empty()) m_packets->Send(m_outgoing);
   if (m_lines.Allow()) {
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -69,7 +69,8 @@
   void HandleBatch(std::span<const io::IncomingDatagram> batch);
   void HandlePacket(TimePoint now, const io::IncomingDatagram& datagram);
   void Act(const CookiePacket& packet, std::span<std::byte> bytes, const SteeringDecision& decision);
-  void Wait(TimePoint now, const CookiePacket& packet, std::span<const std::byte> bytes, std::uint32_t priority);
+  void Wait(TimePoint now, const CookiePacket& packet, std::span<const std::byte> bytes,
+            const SteeringDecision& decision);
   void ServeWaiting();
   void ReleaseWaiting(TimePoint now);
   void RefuseBeyondLimit(TimePoint now);
--- a/src/steering/admission_queue.cc
+++ b/src/steering/admission_queue.cc
@@ -7,8 +7,8 @@
 namespace fighatch {
 namespace {
 
-// True if `left` is served after `right`.
-bool IsServedLater(const WaitingPacket& left, const WaitingPacket& right) {
+// True if `left` stands before `right`: it is less urgent, or as urgent and older.
+bool StandsBefore(const WaitingPacket& left, const WaitingPacket& right) {
   if (left.m_priority != right.m_priority) return left.m_priority > right.m_priority;
   return left.m_since < right.m_since;
 }
@@ -20,17 +20,28 @@
     return other.m_packet.m_ends == packet.m_packet.m_ends;
   });
   if (same != m_packets.end()) {
-    packet.m_since = same->m_since;
+    packet.m_since = std::min(packet.m_since, same->m_since);
     m_packets.erase(same);
   }
-  const auto place = std::upper_bound(m_packets.begin(), m_packets.end(), packet, IsServedLater);
+  const auto place = std::upper_bound(m_packets.begin(), m_packets.end(), packet, StandsBefore);
   m_packets.insert(place, std::move(packet));
 }
 
-std::optional<WaitingPacket> AdmissionQueue::TakeNext() {
-  if (m_packets.empty()) return std::nullopt;
-  WaitingPacket next = std::move(m_packets.back());
-  m_packets.pop_back();
+std::optional<WaitingPacket> AdmissionQueue::TakeNext(TimePoint now, const std::set<Endpoint>& blocked) {
+  const auto may_go = [&blocked](const WaitingPacket& packet) {
+    return !blocked.contains(packet.m_packet.m_ends.m_service);
+  };
+  const auto newest = std::find_if(m_packets.rbegin(), m_packets.rend(), may_go);
+  if (newest == m_packets.rend()) return std::nullopt;
+  auto place = std::prev(newest.base());
+  const bool is_late = place->m_in_time_until && now >= *place->m_in_time_until;
+  if (is_late) {
+    place = std::find_if(m_packets.begin(), place, [&](const WaitingPacket& packet) {
+      return packet.m_priority == place->m_priority && may_go(packet);
+    });
+  }
+  WaitingPacket next = std::move(*place);
+  m_packets.erase(place);
   return next;
 }
 
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -28,8 +28,9 @@
 constexpr milliseconds kAvoidDataCentreFor{700};
 // A target is full when it has so many times the requests that it processes at a time; further ones wait here, where
 // they can still go to any target.
-constexpr std::uint32_t kFullRounds = 3;
-// Waiting packets fill a target only up to this many times its slots, so that new ones find room.
+constexpr double kFullRounds = 3;
+// Waiting packets, and those whose answer is late in any case, fill a target only up to this many times its slots, so
+// that new ones find short queues.
 constexpr double kReleaseRounds = 1.5;
 // Work time that is assumed before the first sample.
 constexpr double kDefaultWorkMs = 20;
@@ -47,8 +48,13 @@
 
 std::uint32_t SlotsOf(const SteeringTarget& target) { return std::max<std::uint32_t>(target.m_record.m_slots, 1); }
 
-bool IsFull(const SteeringTarget& target, double unseen_flows) {
-  return FlowsAt(target) + unseen_flows >= SlotsOf(target) * kFullRounds;
+bool IsFull(const SteeringTarget& target, double unseen_flows, double rounds) {
+  return FlowsAt(target) + unseen_flows >= SlotsOf(target) * rounds;
+}
+
+std::optional<TimePoint> InTimeUntil(const Route& route, TimePoint asked) {
+  if (route.m_objective_ms == 0) return std::nullopt;
+  return asked + milliseconds(route.m_objective_ms);
 }
 
 SteeringDecision ForwardTo(const SteeringTarget& target) {
@@ -70,7 +76,7 @@
     : m_options(options), m_choice(std::move(choice)), m_random(random) {}
 
 SteeringDecision CookieSteering::Steer(TimePoint now, const CookiePacket& packet) {
-  return packet.m_opening ? Place(now, packet) : Follow(now, packet);
+  return packet.m_opening ? Place(now, packet, now - packet.m_age) : Follow(now, packet);
 }
 
 bool CookieSteering::Update(TimePoint now, const RoutingUpdate& update) {
@@ -117,7 +123,7 @@
   NoteEnd(now, *m_flows.Take(packet.m_ends), true);
 }
 
-SteeringDecision CookieSteering::Place(TimePoint now, const CookiePacket& packet) {
+SteeringDecision CookieSteering::Place(TimePoint now, const CookiePacket& packet, TimePoint asked) {
   if (m_state.m_index == 0) return Refuse(SteeringAction::kHold, ErrorCode::kPacketNoTarget);
   const auto route = m_state.m_routing.m_routes.find(packet.m_ends.m_service);
   if (route == m_state.m_routing.m_routes.end()) {
@@ -141,10 +147,13 @@
     return Refuse(action, ErrorCode::kPacketNoTarget);
   }
   const double unseen = UnseenFlows(now, service, candidates.size());
+  const std::optional<TimePoint> in_time_until = InTimeUntil(route->second, asked);
+  const double rounds = in_time_until && now >= *in_time_until ? kReleaseRounds : kFullRounds;
   if (std::all_of(candidates.begin(), candidates.end(),
-                  [unseen](const SteeringTarget* target) { return IsFull(*target, unseen); })) {
+                  [&](const SteeringTarget* target) { return IsFull(*target, unseen, rounds); })) {
     SteeringDecision hold = Refuse(SteeringAction::kHold, ErrorCode::kRequestOverloaded);
     hold.m_priority = route->second.m_priority;
+    hold.m_in_time_until = in_time_until;
     hold.m_candidates = static_cast<std::uint32_t>(candidates.size());
     return hold;
   }
@@ -219,14 +228,15 @@
 }
 
 std::size_t CookieSteering::ReleaseBudget(TimePoint now) const {
-  // The other balancers may not all be known yet, so this one's share is not either.
-  if (now < m_learning_until) return 1;
   double room = 0;
   for (const auto& [id, target] : m_targets.All()) {
     if (!IsOpenForNewFlows(target) || !MayTakeFlow(now, target)) continue;
     room += std::max(0.0, SlotsOf(target) * kReleaseRounds - FlowsAt(target));
   }
-  return static_cast<std::size_t>(std::ceil(room / static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1))));
+  const double balancers = static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1));
+  const auto share = static_cast<std::size_t>(std::ceil(room / balancers));
+  // The other balancers may not all be known yet, so that this one's share may look larger than it is.
+  return now < m_learning_until ? std::min<std::size_t>(share, 1) : share;
 }
 
 std::size_t CookieSteering::WaitingLimit(TimePoint now) const {
--- a/tests/admission_queue_test.cc
+++ b/tests/admission_queue_test.cc
@@ -13,7 +13,7 @@
 const TimePoint kStart{std::chrono::seconds(50)};
 
 WaitingPacket Waiting(std::uint32_t client, std::uint32_t priority, int since_ms) {
-  return {OpeningPacket(client), priority, kStart + milliseconds(since_ms), {}};
+  return {OpeningPacket(client), priority, kStart + milliseconds(since_ms), {}, {}};
 }
 
 std::uint32_t ClientOf(const std::optional<WaitingPacket>& packet) {
@@ -27,11 +27,39 @@
   queue.Put(Waiting(2, 1, 10));
   queue.Put(Waiting(3, 2, 20));
   queue.Put(Waiting(4, 1, 5));
-  EXPECT_EQ(ClientOf(queue.TakeNext()), 2U);
-  EXPECT_EQ(ClientOf(queue.TakeNext()), 4U);
-  EXPECT_EQ(ClientOf(queue.TakeNext()), 3U);
-  EXPECT_EQ(ClientOf(queue.TakeNext()), 1U);
-  EXPECT_FALSE(queue.TakeNext().has_value());
+  EXPECT_EQ(ClientOf(queue.TakeNext(kStart)), 2U);
+  EXPECT_EQ(ClientOf(queue.TakeNext(kStart)), 4U);
+  EXPECT_EQ(ClientOf(queue.TakeNext(kStart)), 3U);
+  EXPECT_EQ(ClientOf(queue.TakeNext(kStart)), 1U);
+  EXPECT_FALSE(queue.TakeNext(kStart).has_value());
+}
+
+// Guards against callers that give up while newer ones, as late as they are, are served before them.
+TEST(AdmissionQueueTest, ServesTheOldestOfThoseThatAreLate) {
+  AdmissionQueue queue;
+  for (std::uint32_t client = 1; client <= 4; ++client) {
+    WaitingPacket packet = Waiting(client, 2, static_cast<int>(client) * 100);
+    packet.m_in_time_until = packet.m_since + milliseconds(150);
+    queue.Put(std::move(packet));
+  }
+  const TimePoint now = kStart + milliseconds(500);
+  EXPECT_EQ(ClientOf(queue.TakeNext(now)), 4U);
+  EXPECT_EQ(ClientOf(queue.TakeNext(now)), 1U);
+  EXPECT_EQ(ClientOf(queue.TakeNext(now)), 2U);
+  EXPECT_EQ(ClientOf(queue.TakeNext(now)), 3U);
+}
+
+// Guards against a service without room that keeps packets to other services waiting.
+TEST(AdmissionQueueTest, LeavesOutBlockedAddresses) {
+  AdmissionQueue queue;
+  queue.Put(Waiting(1, 2, 0));
+  queue.Put(Waiting(2, 1, 0));
+  WaitingPacket other = Waiting(3, 3, 0);
+  other.m_packet.m_ends.m_service.m_port = 8443;
+  queue.Put(std::move(other));
+  EXPECT_EQ(ClientOf(queue.TakeNext(kStart, {testing_support::kPublicAddress})), 3U);
+  EXPECT_FALSE(queue.TakeNext(kStart, {testing_support::kPublicAddress}).has_value());
+  EXPECT_EQ(ClientOf(queue.TakeNext(kStart)), 2U);
 }
 
 // Guards against two runs of one request, and against copies that let a client wait longer than it does.
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -31,7 +31,7 @@
   return record;
 }
 
-inline Route MakeRoute(const Endpoint& address, const std::string& service) { return {address, {{service, 1}}, 0}; }
+inline Route MakeRoute(const Endpoint& address, const std::string& service) { return {address, {{service, 1}}, 0, 0}; }
 
 /// One service behind `kPublicAddress`.
 inline PublishedState MakeState(std::uint64_t index = 1) {
@@ -48,6 +48,7 @@
   packet.m_ends = {{IpAddress::FromV4(0x64400000 + client), 40000}, kPublicAddress};
   packet.m_opening = true;
   packet.m_copy = copy;
+  packet.m_age = copy == 0 ? milliseconds(0) : milliseconds(copy == 1 ? 200 : 600);
   return packet;
 }
 
--- a/tests/steering_load_test.cc
+++ b/tests/steering_load_test.cc
@@ -7,6 +7,7 @@
 
 using testing_support::LoadPattern;
 using testing_support::LoadResult;
+using testing_support::milliseconds;
 using testing_support::SteeringWorld;
 
 LoadResult RunInUse(const LoadPattern& pattern) {
@@ -74,6 +75,17 @@
   EXPECT_GE(result.m_in_time + result.m_late, result.m_asked * 94 / 100);
 }
 
+// Guards against an outage of all balancers that goes on after its end: callers that are late already must not take the
+// place of those that can still get their answer in time, and must be served nevertheless.
+TEST(SteeringLoadTest, NewCallersAreInTimeRightAfterAnOutage) {
+  LoadPattern pattern;
+  pattern.m_outage = milliseconds(1400);
+  pattern.m_balancers = 11;
+  const LoadResult result = RunInUse(pattern);
+  EXPECT_GE(result.InTimeAfterOutage(), 0.98);
+  EXPECT_GE(result.Served(), 0.99);
+}
+
 // Guards against choices that fall apart as the number of balancers grows and each sees a smaller part.
 TEST(SteeringLoadTest, ManyBalancersActAsOne) {
   LoadPattern pattern;
--- a/tests/steering_world.h
+++ b/tests/steering_world.h
@@ -31,6 +31,8 @@
   std::uint32_t m_dead_targets = 0;
   /// Requests that all come at once at the burst's start, as after an outage.
   std::uint32_t m_returning = 0;
+  /// For this long from the burst's start no balancer runs; then all start anew.
+  milliseconds m_outage{0};
   std::uint64_t m_seed = 1;
 };
 
@@ -40,38 +42,35 @@
   std::uint32_t m_in_time = 0;
   std::uint32_t m_late = 0;
   std::uint32_t m_shed = 0;
+  /// The same of requests that were first sent in the second after an outage.
+  std::uint32_t m_asked_after_outage = 0;
+  std::uint32_t m_in_time_after_outage = 0;
+  [[nodiscard]] double InTimeAfterOutage() const {
+    return static_cast<double>(m_in_time_after_outage) / m_asked_after_outage;
+  }
+  [[nodiscard]] double Served() const { return static_cast<double>(m_in_time + m_late) / m_asked; }
   [[nodiscard]] double InTime() const { return static_cast<double>(m_in_time) / m_asked; }
 };
 
 /// A small model of targets (slots, a queue that sheds when it is full) and callers (copies of the opening packet, a
-/// deadline) around real `CookieSteering` objects that report their load to each other every 35 ms, in virtual time.
+/// deadline) around real `CookieSteering` objects that report their load to each other every 35 ms and serve waiting
+/// packets every 15 ms, in virtual time.
 class SteeringWorld {
  public:
   using MakeChoice = std::function<std::unique_ptr<ChoiceStrategy>(std::uint32_t balancer)>;
 
   SteeringWorld(const LoadPattern& pattern, const MakeChoice& make_choice)
-      : m_pattern(pattern), m_random(pattern.m_seed), m_targets(pattern.m_targets), m_waiting(pattern.m_balancers) {
-    std::vector<HostId> hosts;
-    for (std::uint32_t host = 1; host <= pattern.m_balancers; ++host) hosts.push_back(HostId{host});
-    for (std::uint32_t host = 1; host <= pattern.m_balancers; ++host) {
-      SteeringOptions options;
-      options.m_self = HostId{host};
-      options.m_data_centre = "a";
-      m_balancers.push_back(std::make_unique<CookieSteering>(options, make_choice(host), Random(host)));
-      CookieSteering& balancer = *m_balancers.back();
-      (void)balancer.Update(m_now, MakeUpdate({}, MakeState()));
-      for (std::uint32_t number = 0; number < pattern.m_targets; ++number) {
-        (void)balancer.Merge(m_now, {MakeTarget(number), 0});
-      }
-      balancer.SetBalancers(hosts);
-    }
+      : m_pattern(pattern), m_make_choice(make_choice), m_random(pattern.m_seed), m_targets(pattern.m_targets) {
+    StartBalancers();
   }
 
   LoadResult Run() {
     ScheduleArrivals();
+    if (m_pattern.m_outage.count() > 0) At(OutageEnd(), [this] { StartBalancers(); });
     for (std::uint32_t balancer = 0; balancer < m_pattern.m_balancers; ++balancer) {
       const auto phase = std::chrono::microseconds(m_random.Below(35000));
       At(m_now + phase, [this, balancer] { ScheduleUpkeep(balancer); });
+      At(m_now + phase, [this, balancer] { ScheduleRelease(balancer); });
     }
     while (!m_events.empty()) {
       const Event event = m_events.top();
@@ -85,7 +84,10 @@
 
  private:
   static constexpr milliseconds kAim{120};
-  static constexpr milliseconds kDeadline{1400};
+  // A client gives an attempt up after this long, tries once more after a pause, and gives up altogether.
+  static constexpr milliseconds kAttempt{1400};
+  static constexpr milliseconds kRetryPause{100};
+  static constexpr milliseconds kDeadline{2000};
   static constexpr milliseconds kTrip{3};
   static constexpr std::uint32_t kSlots = 2;
   static constexpr std::size_t kQueue = 8;
@@ -104,12 +106,42 @@
   };
   struct Flow {
     TimePoint m_asked;
+    // Start of the attempt that this flow belongs to.
+    TimePoint m_attempted;
     std::uint32_t m_balancer = 0;
     std::uint32_t m_target = 0;
     std::uint32_t m_cookie = 0;
     bool m_open = false;
   };
 
+  void StartBalancers() {
+    std::vector<HostId> hosts;
+    for (std::uint32_t host = 1; host <= m_pattern.m_balancers; ++host) hosts.push_back(HostId{host});
+    m_balancers.clear();
+    m_waiting = std::vector<AdmissionQueue>(m_pattern.m_balancers);
+    PublishedState state = MakeState();
+    state.m_routing.m_routes[kPublicAddress].m_objective_ms = static_cast<std::uint32_t>(kAim.count());
+    for (std::uint32_t host = 1; host <= m_pattern.m_balancers; ++host) {
+      SteeringOptions options;
+      options.m_self = HostId{host};
+      options.m_data_centre = "a";
+      m_balancers.push_back(std::make_unique<CookieSteering>(options, m_make_choice(host), Random(host)));
+      CookieSteering& balancer = *m_balancers.back();
+      (void)balancer.Update(m_now, MakeUpdate({}, state));
+      for (std::uint32_t number = 0; number < m_pattern.m_targets; ++number) {
+        (void)balancer.Merge(m_now, {MakeTarget(number), 0});
+      }
+      balancer.SetBalancers(hosts);
+    }
+  }
+
+  [[nodiscard]] TimePoint OutageEnd() const { return m_start + m_pattern.m_burst_start + m_pattern.m_outage; }
+  [[nodiscard]] bool InOutage() const { return IsPastStart() && m_now < OutageEnd(); }
+  [[nodiscard]] bool WasAskedAfterOutage(const Flow& flow) const {
+    return m_pattern.m_outage.count() > 0 && flow.m_asked >= OutageEnd() &&
+           flow.m_asked < OutageEnd() + milliseconds(1000);
+  }
+
   void At(TimePoint at, std::function<void()> run) { m_events.push({at, ++m_order, std::move(run)}); }
 
   [[nodiscard]] bool InBurst() const {
@@ -133,9 +165,19 @@
   }
 
   void Ask() {
-    const auto id = static_cast<std::uint32_t>(m_flows.size());
-    m_flows.push_back({m_now, static_cast<std::uint32_t>(m_random.Below(m_pattern.m_balancers)), 0, 0, false});
     ++m_result.m_asked;
+    Open(m_now, false);
+    m_result.m_asked_after_outage += WasAskedAfterOutage(m_flows.back()) ? 1 : 0;
+  }
+
+  void Open(TimePoint asked, bool is_retry) {
+    const auto id = static_cast<std::uint32_t>(m_flows.size());
+    m_flows.push_back({asked, m_now, static_cast<std::uint32_t>(m_random.Below(m_pattern.m_balancers)), 0, 0, false});
+    if (!is_retry) {
+      At(m_now + kAttempt + kRetryPause, [this, id, asked] {
+        if (!m_flows[id].m_open) Open(asked, true);
+      });
+    }
     for (const auto& [copy, delay] : {std::pair(0U, 0), std::pair(1U, 200), std::pair(2U, 600)}) {
       At(m_now + kTrip + milliseconds(delay), [this, id, number = copy] {
         if (!m_flows[id].m_open) Offer(id, OpeningPacket(id, number));
@@ -144,18 +186,24 @@
   }
 
   void Offer(std::uint32_t id, const CookiePacket& packet) {
-    const SteeringDecision decision = m_balancers[m_flows[id].m_balancer]->Steer(m_now, packet);
+    if (InOutage()) return;
+    Follow(id, packet, m_now - packet.m_age, m_balancers[m_flows[id].m_balancer]->Steer(m_now, packet));
+  }
+
+  // False if the packet waits.
+  bool Follow(std::uint32_t id, const CookiePacket& packet, TimePoint asked, const SteeringDecision& decision) {
     if (decision.m_action == SteeringAction::kHold) {
-      m_waiting[m_flows[id].m_balancer].Put({packet, 0, m_now, {}});
-    } else if (decision.m_action == SteeringAction::kForward) {
-      Reach(id, decision);
+      m_waiting[m_flows[id].m_balancer].Put({packet, decision.m_priority, asked, {}, decision.m_in_time_until});
+      return false;
     }
+    if (decision.m_action == SteeringAction::kForward) Reach(id, decision);
+    return true;
   }
 
   void Reach(std::uint32_t id, const SteeringDecision& decision) {
     const auto number = static_cast<std::uint32_t>(decision.m_target.m_value - 0x1000);
     if (IsPastStart() && number < m_pattern.m_dead_targets) return;
-    if (m_flows[id].m_open || m_now - m_flows[id].m_asked > kDeadline) return;
+    if (m_flows[id].m_open || m_now - m_flows[id].m_attempted > kAttempt) return;
     m_flows[id].m_open = true;
     m_flows[id].m_target = number;
     m_flows[id].m_cookie = decision.m_cookie;
@@ -194,7 +242,12 @@
 
   void Answer(std::uint32_t id) {
     const Duration took = m_now + kTrip - m_flows[id].m_asked;
-    ++(took <= kAim ? m_result.m_in_time : m_result.m_late);
+    if (took <= kAim) {
+      ++m_result.m_in_time;
+      m_result.m_in_time_after_outage += WasAskedAfterOutage(m_flows[id]) ? 1 : 0;
+    } else if (took <= kDeadline) {
+      ++m_result.m_late;
+    }
     Close(id);
   }
 
@@ -205,6 +258,11 @@
   }
 
   void ScheduleUpkeep(std::uint32_t index) {
+    if (!InOutage()) Keep(index);
+    At(m_now + milliseconds(35), [this, index] { ScheduleUpkeep(index); });
+  }
+
+  void Keep(std::uint32_t index) {
     CookieSteering& balancer = *m_balancers[index];
     balancer.RefreshCounts(m_now);
     balancer.Tick(m_now);
@@ -212,16 +270,29 @@
     for (std::uint32_t other = 0; other < m_pattern.m_balancers; ++other) {
       if (other != index) m_balancers[other]->Receive(m_now, report);
     }
+  }
+
+  void ScheduleRelease(std::uint32_t index) {
+    if (!InOutage()) Release(index);
+    At(m_now + milliseconds(15), [this, index] { ScheduleRelease(index); });
+  }
+
+  void Release(std::uint32_t index) {
+    CookieSteering& balancer = *m_balancers[index];
     m_waiting[index].Expire(m_now);
     for (std::size_t budget = balancer.ReleaseBudget(m_now); budget > 0; --budget) {
-      const std::optional<WaitingPacket> packet = m_waiting[index].TakeNext();
+      const std::optional<WaitingPacket> packet = m_waiting[index].TakeNext(m_now);
       if (!packet) break;
-      Offer(packet->m_packet.m_ends.m_client.m_address.ToV4() - 0x64400000, packet->m_packet);
+      const std::uint32_t id = packet->m_packet.m_ends.m_client.m_address.ToV4() - 0x64400000;
+      if (!Follow(id, packet->m_packet, packet->m_since,
+                  balancer.SteerWaiting(m_now, packet->m_packet, packet->m_since))) {
+        break;
+      }
     }
-    At(m_now + milliseconds(35), [this, index] { ScheduleUpkeep(index); });
   }
 
   LoadPattern m_pattern;
+  MakeChoice m_make_choice;
   Random m_random;
   TimePoint m_start{std::chrono::seconds(100)};
   TimePoint m_now = m_start;
