Publish the state that is known to be committed before an election

Ruled out: shorter election timeouts (a frozen host would cost more elections); publishing uncommitted entries (they may be replaced).

Change: CommitMark keeps in a file, written with the target cache, up to which index the log of a disk is committed; a RaftNode that starts applies up to there. Reads still need a lease. A follower takes the list of balancers from a host without contact when it has none.

Measured: OpenGroupTest.KnownStateIsAppliedBeforeAnElection failed before; the random schedules of consensus_raft_test run with marks that lag.

--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -12,6 +12,7 @@
 #include "fighatch/allowance_holder.h"
 #include "fighatch/announced_target.h"
 #include "fighatch/announcement.h"
+#include "fighatch/commit_mark.h"
 #include "fighatch/compact_archive.h"
 #include "fighatch/cookie_packet.h"
 #include "fighatch/cookie_steering.h"
--- a/include/fighatch/log_storage.h
+++ b/include/fighatch/log_storage.h
@@ -45,6 +45,8 @@
   std::optional<RaftSnapshot> m_snapshot;
   /// Entries in ascending order without gaps; they may begin before the snapshot's index.
   std::vector<LogEntry> m_entries;
+  /// Entries up to this index are known to be committed; 0 if nothing is known.
+  LogIndex m_known_commit = 0;
 };
 
 /// Keeps the log, the vote and the snapshot of one host. A call returns success only after the data is synced.
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -36,6 +36,7 @@
     }
     m_log.Append(std::move(entry));
   }
+  CommitUpTo(std::min(stored.m_known_commit, m_log.LastIndex()));
   ResetElectionDeadline();
 }
 
--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -86,6 +86,8 @@
 }
 
 void LogReplica::Loop() {
+  // What is known to be committed from before the start is applied before anything is heard.
+  Step();
   while (!m_stopping) {
     WaitForInput();
     while (!m_inputs.empty()) {
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -96,6 +96,7 @@
       m_client(MakeSyncOptions(m_settings)),
       m_files(m_settings.m_data_folder),
       m_cache(&m_files),
+      m_commit_mark(&m_files),
       m_lines(m_settings.m_discovery.m_log_lines_per_second),
       m_last_reload(steady_clock::now()) {
   m_client.SetSeeds(m_settings.m_discovery.SeedHosts());
@@ -117,8 +118,7 @@
   if (!IsOk(messages)) return ErrorOf(messages);
   m_messages.emplace(std::move(ValueOf(messages)));
   MessageTransport* transport = this;
-  m_log = std::make_unique<LogReplica>(MakeLogOptions(m_settings), m_storage.get(), m_storage->TakeStored(), &m_machine,
-                                       transport);
+  m_log = std::make_unique<LogReplica>(MakeLogOptions(m_settings), m_storage.get(), LoadLog(), &m_machine, transport);
   return OkStatus();
 }
 
@@ -145,7 +145,7 @@
   std::vector<boost::fibers::fiber> fibers;
   fibers.emplace_back([this] { ServeMessages(); });
   fibers.emplace_back([this] { FollowOthers(); });
-  fibers.emplace_back([this] { SaveTargets(); });
+  fibers.emplace_back([this] { SaveRestartState(); });
   fibers.emplace_back([this] { m_http->Serve(); });
   if (m_metrics_server) fibers.emplace_back([this] { m_metrics_server->Serve(); });
   while (!stop->Wait(io::kNoDeadline)) {
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -16,6 +16,7 @@
 #include "daemon/log_replica.h"
 #include "daemon/settings_watch.h"
 #include "daemon/stop_signal.h"
+#include "fighatch/commit_mark.h"
 #include "fighatch/file_log_storage.h"
 #include "fighatch/routing_log.h"
 #include "fighatch/sync_client.h"
@@ -97,8 +98,11 @@
   void PushChanges();
   void NoteMembers();
   void ExpireTargets(TimePoint now);
+  [[nodiscard]] StoredLog LoadLog();
   void LoadTargets();
-  void SaveTargets();
+  // Saves targets and the commit mark while the host runs.
+  void SaveRestartState();
+  void SaveCommitMark();
   void ReloadIfNeeded(bool in_contact);
   void ReloadSettings(std::string_view cause);
   void AddMetrics();
@@ -114,6 +118,8 @@
   SyncClient m_client;
   io::SyncedFileStore m_files;
   TargetCache m_cache;
+  CommitMark m_commit_mark;
+  LogIndex m_marked_commit = 0;
   BlockingWorker m_cache_worker;
   std::uint64_t m_cached_change = 0;
   std::unique_ptr<io::PosixDirectory> m_folder;
--- a/src/daemon/steering_control_storage.cc
+++ b/src/daemon/steering_control_storage.cc
@@ -63,6 +63,30 @@
   return OkStatus();
 }
 
+StoredLog SteeringControl::LoadLog() {
+  StoredLog stored = m_storage->TakeStored();
+  const Result<LogIndex> mark = m_commit_mark.Load(stored.m_identity.m_self.m_disk);
+  if (IsOk(mark)) {
+    stored.m_known_commit = ValueOf(mark);
+    m_marked_commit = ValueOf(mark);
+  } else {
+    LOG(WARNING) << "event=commit_mark_refused " << ToString(ErrorOf(mark)) << " next=\"the leader tells\"";
+  }
+  return stored;
+}
+
+void SteeringControl::SaveCommitMark() {
+  const LogIndex applied = m_log->AppliedIndex();
+  if (applied == m_marked_commit) return;
+  const DiskId disk = m_log->Node().Self().m_disk;
+  const Status status = m_cache_worker.Run([&] { return m_commit_mark.Save(disk, applied); });
+  if (!IsOk(status)) {
+    LOG(WARNING) << "event=commit_mark_not_saved index=" << applied << " " << ToString(ErrorOf(status));
+    return;
+  }
+  m_marked_commit = applied;
+}
+
 void SteeringControl::LoadTargets() {
   const Result<std::vector<AnnouncedTarget>> records = m_cache.Load(UnixTime());
   if (!IsOk(records)) {
@@ -75,10 +99,11 @@
   LOG(INFO) << "event=target_cache_loaded targets=" << ValueOf(records).size();
 }
 
-void SteeringControl::SaveTargets() {
+void SteeringControl::SaveRestartState() {
   auto saved_at = steady_clock::now();
   while (!m_done) {
     boost::this_fiber::sleep_for(kSaveInterval);
+    SaveCommitMark();
     const bool is_old = steady_clock::now() - saved_at >= kSaveRefresh;
     const std::uint64_t change = m_directory.LastChange();
     if (change == m_cached_change && !is_old) continue;
--- a/src/steering/sync_client.cc
+++ b/src/steering/sync_client.cc
@@ -64,6 +64,11 @@
     link.m_hosts_digest = reply.m_hosts_digest;
     MergeBalancers();
   }
+  // Without contact to a leader a host may not know who belongs to the group, but it knows who follows it.
+  if (m_balancers.empty() && !reply.m_balancers.empty() && !reply.m_in_contact) {
+    link.m_balancers = reply.m_balancers;
+    MergeBalancers();
+  }
   const bool is_same_process = link.m_position.m_incarnation == reply.m_position.m_incarnation;
   const std::uint64_t held = is_same_process ? link.m_position.m_sequence : 0;
   // After a lost message the position stays, so that the next request asks for what is missing.
--- a/tests/consensus_open_group_test.cc
+++ b/tests/consensus_open_group_test.cc
@@ -66,6 +66,22 @@
   EXPECT_TRUE(Accepts(2));
 }
 
+// Guards against an outage of all hosts that lasts until an election although the state was known before.
+TEST_F(OpenGroupTest, KnownStateIsAppliedBeforeAnElection) {
+  ASSERT_TRUE(Accepts(1));
+  ASSERT_TRUE(Accepts(2));
+  m_cluster.Run(milliseconds(500));
+  for (std::uint32_t id = 1; id <= 3; ++id) m_cluster.Crash(id);
+  for (std::uint32_t id = 1; id <= 3; ++id) m_cluster.Start(id);
+  for (std::uint32_t id = 1; id <= 3; ++id) {
+    m_cluster.Drain(id);
+    EXPECT_TRUE(m_cluster.Processor(id).Find(TicketNumber{2}, DigestOf(MakeTicket(2))).has_value());
+  }
+  EXPECT_EQ(m_cluster.Leader(), 0U);
+  m_cluster.Run(milliseconds(1500));
+  EXPECT_TRUE(Accepts(3));
+}
+
 // Guards against a planned replacement, the new host first, that leaves four voters of which one is gone.
 TEST_F(OpenGroupTest, EvenGroupDropsASilentVoter) {
   m_cluster.AddHost(7);
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -81,6 +81,7 @@
     if (!IsOk(storage)) return m_oracle.Fail("a crashed folder does not open: " + ToString(ErrorOf(storage)), id);
     host.m_storage = std::move(ValueOf(storage));
     StoredLog stored = host.m_storage->TakeStored();
+    if (host.m_mark.first == stored.m_identity.m_self.m_disk) stored.m_known_commit = host.m_mark.second;
     host.m_processor = {};
     host.m_applied = stored.m_snapshot ? stored.m_snapshot->m_index : 0;
     host.m_barriers.clear();
@@ -112,6 +113,7 @@
   void WipeNow(std::uint32_t id) {
     Crash(id);
     m_hosts[id].m_directory->Wipe();
+    m_hosts[id].m_mark = {};
   }
 
   void Crash(std::uint32_t id) {
@@ -130,6 +132,7 @@
     if (leader == 0 || !HasAllVoters(*m_hosts[leader].m_node)) return;
     Crash(id);
     m_hosts[id].m_directory->Wipe();
+    m_hosts[id].m_mark = {};
   }
 
   void JumpClock(std::uint32_t id, milliseconds by) {
@@ -209,6 +212,26 @@
     }
   }
 
+  /// Does what the caller of a RaftNode does: persist, send, apply.
+  void Drain(std::uint32_t id) {
+    Host& host = m_hosts[id];
+    RaftOutput output = host.m_node->TakeOutput();
+    if (!IsOk(Persist(output, host.m_storage.get()))) return Crash(id);
+    for (const RaftMessage& message : output.m_messages) Send(message);
+    if (output.m_snapshot) {
+      Restore(&host, *output.m_snapshot);
+      m_oracle.OnRestored(host.m_node->Self(), output.m_snapshot->m_index);
+      ++m_snapshots_installed;
+    }
+    for (const LogEntry& entry : output.m_committed) Apply(&host, entry);
+    for (const auto& [barrier, index] : output.m_barriers) {
+      if (!m_clocks_jumped) m_oracle.OnBarrier(index, host.m_barriers[barrier]);
+    }
+    m_oracle.OnState(host.m_node->Self(), host.m_processor);
+    if (m_random.Below(4) == 0) host.m_mark = {host.m_node->Self().m_disk, host.m_applied};
+    MaybeCompact(id, &host);
+  }
+
  private:
   struct Host {
     std::unique_ptr<MemoryDirectory> m_directory;
@@ -216,6 +239,8 @@
     std::unique_ptr<RaftNode> m_node;
     TicketProcessor m_processor;
     LogIndex m_applied = 0;
+    // A commit mark that lags behind what was applied.
+    std::pair<DiskId, LogIndex> m_mark;
     milliseconds m_clock_offset{0};
     std::set<std::pair<LogIndex, Term>> m_proposed;
     std::map<std::uint64_t, std::uint64_t> m_barriers;
@@ -237,25 +262,6 @@
     host->m_applied = snapshot.m_index;
   }
 
-  // Does what the caller of a RaftNode does: persist, send, apply.
-  void Drain(std::uint32_t id) {
-    Host& host = m_hosts[id];
-    RaftOutput output = host.m_node->TakeOutput();
-    if (!IsOk(Persist(output, host.m_storage.get()))) return Crash(id);
-    for (const RaftMessage& message : output.m_messages) Send(message);
-    if (output.m_snapshot) {
-      Restore(&host, *output.m_snapshot);
-      m_oracle.OnRestored(host.m_node->Self(), output.m_snapshot->m_index);
-      ++m_snapshots_installed;
-    }
-    for (const LogEntry& entry : output.m_committed) Apply(&host, entry);
-    for (const auto& [barrier, index] : output.m_barriers) {
-      if (!m_clocks_jumped) m_oracle.OnBarrier(index, host.m_barriers[barrier]);
-    }
-    m_oracle.OnState(host.m_node->Self(), host.m_processor);
-    MaybeCompact(id, &host);
-  }
-
   void Apply(Host* host, const LogEntry& entry) {
     m_oracle.OnApplied(host->m_node->Self(), entry);
     host->m_applied = entry.m_index;
--- a/tests/steering_directory_test.cc
+++ b/tests/steering_directory_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "fighatch/commit_mark.h"
 #include "fighatch/target_cache.h"
 #include "fighatch/target_directory.h"
 #include "steering_fixture.h"
@@ -127,5 +128,17 @@
   EXPECT_FALSE(IsOk(cache.Load(milliseconds(101000))));
 }
 
+// Guards against a mark that a disk takes from another one, and against one that cannot be read.
+TEST(CommitMarkTest, BelongsToOneDisk) {
+  MemoryFiles files;
+  CommitMark mark(&files);
+  EXPECT_EQ(ValueOf(mark.Load(DiskId{7})), 0U);
+  ASSERT_TRUE(IsOk(mark.Save(DiskId{7}, 12)));
+  EXPECT_EQ(ValueOf(mark.Load(DiskId{7})), 12U);
+  EXPECT_EQ(ValueOf(mark.Load(DiskId{8})), 0U);
+  files.m_bytes.resize(files.m_bytes.size() / 2);
+  EXPECT_FALSE(IsOk(mark.Load(DiskId{7})));
+}
+
 }  // namespace
 }  // namespace fighatch
