Do not read superseded documents when a control host restarts

Callgrind: 77% of the instructions of a start are these reads.

Change: LogMachine::Replay applies what is known to be committed at the start; RoutingLog::Replay reads the newest valid document only, with the same result.

Measured: processor time of a start with 60 documents 30 to 50 ms before, 14 to 19 ms after. RoutingLogProperty.ReplayLeadsToTheSameState.

--- a/include/fighatch/routing_log.h
+++ b/include/fighatch/routing_log.h
@@ -8,7 +8,9 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "fighatch/raft_message.h"
 #include "fighatch/result.h"
@@ -64,6 +66,10 @@
   /// Applies one entry; true if the published state changed. Errors: `kMessageMalformed`, `kTicketMalformed`.
   [[nodiscard]] Result<bool> Apply(LogIndex index, const RoutingOrder& order);
 
+  /// Applies entries that no one waits for, in ascending order, with the same result as one call of `Apply` for each.
+  /// Documents that another one supersedes are not read, which keeps a restart short. Returns the errors of the others.
+  std::vector<std::pair<LogIndex, Error>> Replay(const std::vector<std::pair<LogIndex, RoutingOrder>>& orders);
+
   /// The newest state; never null.
   [[nodiscard]] const std::shared_ptr<const PublishedState>& Published() const noexcept { return m_published; }
 
@@ -81,6 +87,7 @@
  private:
   [[nodiscard]] Result<bool> ApplyOrder(LogIndex index, const DocumentOrder& order);
   [[nodiscard]] Result<bool> ApplyOrder(LogIndex index, const DataCentreOrder& order);
+  void Adopt(LogIndex index, const std::string& text, RoutingState routing);
   void Publish(PublishedState next);
 
   const DocumentReader* m_reader;
--- a/src/daemon/log_machine.h
+++ b/src/daemon/log_machine.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "fighatch/raft_message.h"
 #include "fighatch/result.h"
@@ -20,6 +21,11 @@
   /// Applies a payload entry. Returns the answer for the host that proposed it, of a type that the machine defines.
   virtual std::any Apply(const LogEntry& entry) = 0;
 
+  /// Applies payload entries at the start of the process, in ascending order, with the same result as `Apply`.
+  virtual void Replay(const std::vector<LogEntry>& entries) {
+    for (const LogEntry& entry : entries) (void)Apply(entry);
+  }
+
   /// The whole state, which `Restore` takes.
   [[nodiscard]] virtual std::string EncodeSnapshot() const = 0;
 
--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -86,8 +86,7 @@
 }
 
 void LogReplica::Loop() {
-  // What is known to be committed from before the start is applied before anything is heard.
-  Step();
+  Replay();
   while (!m_stopping) {
     WaitForInput();
     while (!m_inputs.empty()) {
@@ -100,6 +99,19 @@
   }
 }
 
+void LogReplica::Replay() {
+  const RaftOutput output = m_node.TakeOutput();
+  if (output.m_committed.empty()) return;
+  std::vector<LogEntry> payloads;
+  for (const LogEntry& entry : output.m_committed) {
+    if (entry.m_kind == EntryKind::kPayload) payloads.push_back(entry);
+    m_bytes_since_snapshot += entry.m_payload.size();
+  }
+  m_machine->Replay(payloads);
+  m_applied = output.m_committed.back().m_index;
+  if (m_observer) m_observer();
+}
+
 void LogReplica::WaitForInput() {
   std::unique_lock<boost::fibers::mutex> lock(m_mutex);
   if (!m_inputs.empty() || m_stopping) return;
--- a/src/daemon/log_replica.h
+++ b/src/daemon/log_replica.h
@@ -90,6 +90,7 @@
   void ReceiveMessage(const std::vector<std::byte>& bytes);
   void Loop();
   void WaitForInput();
+  void Replay();
   void Step();
   void PersistOrExit(const std::function<Status()>& call);
   void Restore(const RaftSnapshot& snapshot);
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -84,6 +84,24 @@
   return applied;
 }
 
+void RoutingMachine::Replay(const std::vector<LogEntry>& entries) {
+  std::vector<std::pair<LogIndex, RoutingOrder>> orders;
+  for (const LogEntry& entry : entries) {
+    Result<RoutingOrder> order = DecodeRoutingOrder(entry.m_payload);
+    if (IsOk(order)) {
+      orders.emplace_back(entry.m_index, std::move(ValueOf(order)));
+    } else {
+      LOG(ERROR) << "event=order_refused index=" << entry.m_index << " " << ToString(ErrorOf(order));
+    }
+  }
+  for (const auto& [index, error] : m_log.Replay(orders)) {
+    LOG(ERROR) << "event=order_refused index=" << index << " " << ToString(error);
+  }
+  LOG(INFO) << "event=orders_replayed entries=" << entries.size()
+            << " version=" << m_log.Published()->m_routing.m_version
+            << " data_centres_out=" << m_log.Published()->m_data_centres_out.size();
+}
+
 SteeringControl::SteeringControl(config::SteeringControlSettings settings, std::string settings_path,
                                  const DocumentReader* reader)
     : m_settings(std::move(settings)),
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -39,6 +39,7 @@
   explicit RoutingMachine(const DocumentReader* reader) : m_log(reader) {}
 
   std::any Apply(const LogEntry& entry) override;
+  void Replay(const std::vector<LogEntry>& entries) override;
   [[nodiscard]] std::string EncodeSnapshot() const override { return m_log.EncodeSnapshot(); }
   [[nodiscard]] Status Restore(std::span<const std::byte> bytes) override { return m_log.Restore(bytes); }
 
--- a/src/steering/routing_log.cc
+++ b/src/steering/routing_log.cc
@@ -1,5 +1,7 @@
 #include "fighatch/routing_log.h"
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "wire/codec.h"
@@ -46,11 +48,45 @@
   if (!m_document.empty() && order.m_version <= m_published->m_routing.m_version) return false;
   Result<RoutingState> routing = m_reader->Read(order.m_text);
   if (!IsOk(routing)) return ErrorOf(routing);
-  m_document = order.m_text;
-  Publish({index, std::move(ValueOf(routing)), m_published->m_data_centres_out});
+  Adopt(index, order.m_text, std::move(ValueOf(routing)));
   return true;
 }
 
+std::vector<std::pair<LogIndex, Error>> RoutingLog::Replay(
+    const std::vector<std::pair<LogIndex, RoutingOrder>>& orders) {
+  std::vector<std::pair<LogIndex, const DocumentOrder*>> documents;
+  for (const auto& [index, order] : orders) {
+    if (const auto* document = std::get_if<DocumentOrder>(&order)) documents.emplace_back(index, document);
+  }
+  // Among documents of one version the first one counts.
+  std::stable_sort(documents.begin(), documents.end(), [](const auto& left, const auto& right) {
+    return left.second->m_version > right.second->m_version;
+  });
+  std::vector<std::pair<LogIndex, Error>> errors;
+  std::optional<LogIndex> newest;
+  RoutingState routing;
+  for (const auto& [index, document] : documents) {
+    if (!m_document.empty() && document->m_version <= m_published->m_routing.m_version) break;
+    Result<RoutingState> read = m_reader->Read(document->m_text);
+    if (IsOk(read)) {
+      newest = index;
+      routing = std::move(ValueOf(read));
+      break;
+    }
+    errors.emplace_back(index, ErrorOf(read));
+  }
+  for (const auto& [index, order] : orders) {
+    if (const auto* data_centre = std::get_if<DataCentreOrder>(&order)) (void)ApplyOrder(index, *data_centre);
+    if (newest == index) Adopt(index, std::get<DocumentOrder>(order).m_text, std::move(routing));
+  }
+  return errors;
+}
+
+void RoutingLog::Adopt(LogIndex index, const std::string& text, RoutingState routing) {
+  m_document = text;
+  Publish({index, std::move(routing), m_published->m_data_centres_out});
+}
+
 Result<bool> RoutingLog::ApplyOrder(LogIndex index, const DataCentreOrder& order) {
   PublishedState next = *m_published;
   const bool changed = order.m_out ? next.m_data_centres_out.insert(order.m_name).second
--- a/tests/routing_log_test.cc
+++ b/tests/routing_log_test.cc
@@ -95,5 +95,30 @@
   }
 }
 
+// Guards against a host that restarts with another state than those that applied entry by entry, documents of equal
+// and lower versions and malformed ones included.
+RC_GTEST_PROP(RoutingLogProperty, ReplayLeadsToTheSameState, (std::uint64_t seed)) {
+  Random random(seed);
+  PortReader reader;
+  RoutingLog applied(&reader);
+  RoutingLog replayed(&reader);
+  LogIndex index = 0;
+  for (int batch = 0; batch < 4; ++batch) {
+    std::vector<std::pair<LogIndex, RoutingOrder>> orders;
+    for (std::uint64_t count = random.Below(12); count > 0; --count) {
+      const std::uint64_t version = random.Below(10);
+      RoutingOrder order = DataCentreOrder{"dc" + std::to_string(random.Below(3)), random.Below(2) == 0};
+      if (random.Below(4) != 0) order = Document(version, std::to_string(80 + random.Below(20)));
+      if (random.Below(6) == 0) order = DocumentOrder{version, "x"};
+      orders.emplace_back(++index, order);
+      (void)applied.Apply(index, order);
+    }
+    (void)replayed.Replay(orders);
+    RC_ASSERT(replayed.EncodeSnapshot() == applied.EncodeSnapshot());
+    RC_ASSERT(replayed.Published()->m_index == applied.Published()->m_index);
+    RC_ASSERT(replayed.Published()->m_routing == applied.Published()->m_routing);
+  }
+}
+
 }  // namespace
 }  // namespace fighatch
