Measure the packet path of cookie steering against bare forwarding

Found: the p99 of a round is decided by any thread of the rig that is held up for a millisecond, in either lane; the median of three rounds does not remove that.

Targets keep whether a later start has taken their address, and indexes grow by one target instead of being made anew: a lookup in an ordered map less for each packet, and no quadratic work when a balancer hears of all targets. The sync reply has a new number, since routes carry an objective.

--- /dev/null
+++ b/bench/forwarding_rig.h
@@ -0,0 +1,280 @@
+#ifndef FIGHATCH_BENCH_FORWARDING_RIG_H_
+#define FIGHATCH_BENCH_FORWARDING_RIG_H_
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstring>
+#include <ctime>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <type_traits>
+#include <vector>
+
+#include "daemon/packet_receiver.h"
+#include "fighatch/gue.h"
+#include "io/reactor.h"
+#include "io/udp_socket.h"
+#include "report.h"
+
+/// Sources, a sink and a bare forwarder on loopback, to which the forwarders of the data planes are compared.
+namespace fighatch::bench {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+inline constexpr std::uint32_t kFlows = 100'000;
+inline constexpr std::uint32_t kTargets = 15;
+inline constexpr std::size_t kPayloadBytes = 64;
+inline constexpr std::size_t kSendBatch = 64;
+inline constexpr std::size_t kPacedBatch = 8;
+
+inline double SecondsOfClock(clockid_t clock) {
+  timespec time{};
+  clock_gettime(clock, &time);
+  return static_cast<double>(time.tv_sec) + 1e-9 * static_cast<double>(time.tv_nsec);
+}
+
+inline double ProcessCpuSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + 1e-6 * static_cast<double>(time.tv_usec);
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+inline std::int64_t Nanoseconds() { return steady_clock::now().time_since_epoch().count(); }
+
+inline io::UdpSocket Open(const std::string& local) {
+  io::UdpOptions options;
+  options.m_batch = daemon::kReceiveBatch;
+  options.m_datagram_bytes = daemon::kMaxOuterBytes;
+  options.m_headroom_bytes = kGuePrivateBytes;
+  auto socket = io::UdpSocket::Bind(ValueOf(ParseEndpoint(local)), options);
+  if (!IsOk(socket)) throw std::runtime_error(ToString(ErrorOf(socket)));
+  return std::move(ValueOf(socket));
+}
+
+/// The packets of a run: one of each flow, and where a sequence number and the time of sending go. The time has another
+/// place for the receiver where a forwarder puts a longer header in front.
+struct Traffic {
+  std::vector<std::vector<std::byte>> m_datagrams;
+  std::size_t m_sequence_offset = 0;
+  std::size_t m_time_offset = 0;
+  std::size_t m_received_time_offset = 0;
+};
+
+/// A thread that runs until it is stopped, and its processor time.
+class Worker {
+ public:
+  template <typename Step>
+  explicit Worker(Step step)
+      : m_thread([this, step]() mutable {
+          const io::Reactor reactor;
+          while (!m_stop) step();
+          m_cpu = SecondsOfClock(CLOCK_THREAD_CPUTIME_ID);
+        }) {}
+  ~Worker() { Stop(); }
+  Worker(const Worker&) = delete;
+  Worker& operator=(const Worker&) = delete;
+  /// Stops the thread and returns the processor time that it took.
+  double Stop() {
+    m_stop = true;
+    if (m_thread.joinable()) m_thread.join();
+    return m_cpu;
+  }
+
+ private:
+  std::atomic<bool> m_stop{false};
+  double m_cpu = 0;
+  std::thread m_thread;
+};
+
+/// Sends packets of all flows in turn, each with a fresh sequence number and the time of sending.
+class Source {
+ public:
+  /// A rate of 0 sends without a pause.
+  Source(const Endpoint& to, const Traffic& traffic, std::uint32_t first_flow, double rate)
+      : m_to(to), m_traffic(traffic), m_next(first_flow), m_rate(rate) {}
+  void Step() {
+    const std::size_t batch = m_rate > 0 ? kPacedBatch : kSendBatch;
+    m_outgoing.clear();
+    if (m_rate > 0) Pace(batch);
+    const std::int64_t now = Nanoseconds();
+    for (std::size_t index = 0; index < batch; ++index) {
+      std::vector<std::byte>& datagram = m_traffic.m_datagrams[m_next++ % m_traffic.m_datagrams.size()];
+      std::memcpy(datagram.data() + m_traffic.m_sequence_offset, &m_next, sizeof(m_next));
+      std::memcpy(datagram.data() + m_traffic.m_time_offset, &now, sizeof(now));
+      m_outgoing.push_back({m_to, datagram});
+    }
+    m_socket.Send(m_outgoing);
+  }
+
+ private:
+  void Pace(std::size_t batch) {
+    const auto now = steady_clock::now();
+    // A source that was held up does not catch up with a burst.
+    if (m_due + milliseconds(10) < now) m_due = now;
+    std::this_thread::sleep_until(m_due);
+    m_due += std::chrono::nanoseconds(static_cast<std::int64_t>(1e9 * static_cast<double>(batch) / m_rate));
+  }
+
+  Endpoint m_to;
+  // Its own copy, which it writes to.
+  Traffic m_traffic;
+  std::uint32_t m_next;
+  double m_rate;
+  io::UdpSocket m_socket = Open("127.0.0.1:0");
+  std::vector<io::OutgoingDatagram> m_outgoing;
+  steady_clock::time_point m_due = steady_clock::now();
+};
+
+/// The stand-in for all targets: one socket on every loopback address.
+class Sink {
+ public:
+  explicit Sink(std::size_t time_offset) : m_time_offset(time_offset) {}
+  [[nodiscard]] std::uint16_t Port() const { return m_socket.Local().m_port; }
+  void Step() {
+    for (const auto& datagram : m_socket.Receive(steady_clock::now() + milliseconds(20))) {
+      std::int64_t sent = 0;
+      if (datagram.m_bytes.size() < m_time_offset + sizeof(sent)) continue;
+      std::memcpy(&sent, datagram.m_bytes.data() + m_time_offset, sizeof(sent));
+      m_latencies_us.push_back(static_cast<double>(Nanoseconds() - sent) * 1e-3);
+    }
+  }
+  std::vector<double> m_latencies_us;
+
+ private:
+  std::size_t m_time_offset;
+  io::UdpSocket m_socket = Open("0.0.0.0:0");
+};
+
+inline Endpoint TargetAt(std::uint32_t index, std::uint16_t port) {
+  return {IpAddress::FromV4(0x7F010001U + index), port};
+}
+
+/// Receives and sends in batches, spread over the targets, without looking at the packets.
+class BareForwarder {
+ public:
+  explicit BareForwarder(std::uint16_t port) : m_port(port) {}
+  [[nodiscard]] Endpoint Local() const { return m_socket.Local(); }
+  [[nodiscard]] std::uint64_t Forwarded() const { return m_forwarded; }
+  void KeepContact() {}
+  void Start() {
+    m_worker = std::make_unique<Worker>([this] { Step(); });
+  }
+  void Stop() { m_worker.reset(); }
+
+ private:
+  void Step() {
+    m_outgoing.clear();
+    for (const auto& datagram : m_socket.Receive(steady_clock::now() + milliseconds(20))) {
+      m_outgoing.push_back({TargetAt(m_next++ % kTargets, m_port), datagram.m_bytes});
+    }
+    m_forwarded += m_socket.Send(m_outgoing);
+  }
+
+  std::uint16_t m_port;
+  std::uint32_t m_next = 0;
+  io::UdpSocket m_socket = Open("127.0.0.1:0");
+  std::vector<io::OutgoingDatagram> m_outgoing;
+  std::atomic<std::uint64_t> m_forwarded{0};
+  std::unique_ptr<Worker> m_worker;
+};
+
+struct RunResult {
+  double m_packets_per_second = 0;
+  /// Processor time of the forwarder: that of the process without sources and sink.
+  double m_cpu_us_per_packet = 0;
+  double m_cpu_share = 0;
+  double m_p99_us = 0;
+  double m_lost_share = 0;
+};
+
+/// Sends the traffic through a forwarder; a rate of 0 offers as much as it can take.
+template <typename Forwarder>
+RunResult Run(const Traffic& traffic, double rate, milliseconds span) {
+  Sink sink(std::is_same_v<Forwarder, BareForwarder> ? traffic.m_time_offset : traffic.m_received_time_offset);
+  sink.m_latencies_us.reserve(4'000'000);
+  Forwarder forwarder(sink.Port());
+  // Two sources offer more than one forwarding thread can carry; a paced run needs one.
+  std::vector<std::unique_ptr<Source>> sources;
+  for (std::uint32_t index = 0; index < (rate > 0 ? 1U : 2U); ++index) {
+    sources.push_back(std::make_unique<Source>(forwarder.Local(), traffic, index * kFlows / 2, rate));
+  }
+  forwarder.KeepContact();
+  const double cpu_before = ProcessCpuSeconds();
+  const auto start = steady_clock::now();
+  forwarder.Start();
+  Worker sink_worker([&sink] { sink.Step(); });
+  std::vector<std::unique_ptr<Worker>> workers;
+  for (const auto& source : sources) workers.push_back(std::make_unique<Worker>([&source] { source->Step(); }));
+  while (steady_clock::now() < start + span) {
+    std::this_thread::sleep_for(milliseconds(10));
+    forwarder.KeepContact();
+  }
+  double others = 0;
+  for (const auto& worker : workers) others += worker->Stop();
+  const double seconds = std::chrono::duration<double>(steady_clock::now() - start).count();
+  const auto forwarded = static_cast<double>(forwarder.Forwarded());
+  forwarder.Stop();
+  others += sink_worker.Stop();
+  const double cpu = ProcessCpuSeconds() - cpu_before - others;
+  RunResult result;
+  result.m_packets_per_second = forwarded / seconds;
+  result.m_cpu_us_per_packet = cpu * 1e6 / std::max(forwarded, 1.0);
+  result.m_cpu_share = cpu / seconds;
+  result.m_p99_us = Quantile(sink.m_latencies_us, 0.99);
+  result.m_lost_share = rate > 0 ? 1 - static_cast<double>(sink.m_latencies_us.size()) / (rate * seconds) : 0;
+  return result;
+}
+
+struct Rounds {
+  std::vector<RunResult> m_bare;
+  std::vector<RunResult> m_plane;
+};
+
+/// The lowest value of all rounds: what the forwarder does while the machine does not hold up any of the threads.
+inline double Lowest(const std::vector<RunResult>& results, double RunResult::*field) {
+  std::vector<double> values;
+  for (const RunResult& result : results) values.push_back(result.*field);
+  return Quantile(values, 0);
+}
+
+inline double Median(const std::vector<RunResult>& results, double RunResult::*field) {
+  std::vector<double> values;
+  for (const RunResult& result : results) values.push_back(result.*field);
+  return Quantile(values, 0.5);
+}
+
+/// Runs both in turn, so that other load on the machine falls on both.
+template <typename Forwarder>
+Rounds RunBoth(const Traffic& traffic, double rate, int rounds, milliseconds span) {
+  Rounds results;
+  for (int round = 0; round < rounds; ++round) {
+    results.m_bare.push_back(Run<BareForwarder>(traffic, rate, span));
+    results.m_plane.push_back(Run<Forwarder>(traffic, rate, span));
+  }
+  return results;
+}
+
+/// Reports the field of both and, as a ratio with a bound, how the data plane stands to the bare forwarder.
+/// `summary` makes one figure of the rounds.
+inline bool ReportRatio(const std::string& name, const Rounds& rounds, double RunResult::*field, const char* unit,
+                        std::optional<double> bound, bool is_rate,
+                        double (*summary)(const std::vector<RunResult>&, double RunResult::*) = Median) {
+  const double bare = summary(rounds.m_bare, field);
+  const double plane = summary(rounds.m_plane, field);
+  Report(name, plane, unit, std::nullopt, bare);
+  const double ratio = is_rate ? bare / plane : plane / bare;
+  return Report(name + (is_rate ? "_bare_over_plane" : "_plane_over_bare"), ratio, "ratio", bound, 1);
+}
+
+}  // namespace fighatch::bench
+
+#endif  // FIGHATCH_BENCH_FORWARDING_RIG_H_
--- a/include/fighatch/messages.h
+++ b/include/fighatch/messages.h
@@ -47,8 +47,9 @@
   kSessionHello = 97,
 
   kSyncRequest = 112,
-  kSyncReply = 113,
+  // 113 was a sync reply whose routes have no objective.
   kLoadReport = 114,
+  kSyncReply = 115,
 };
 
 /// One row of the table of message types.
--- a/include/fighatch/target_table.h
+++ b/include/fighatch/target_table.h
@@ -32,6 +32,8 @@
   TimePoint m_avoid_until;
   /// When the next new flow may go to the target while it is cold and its rate is limited.
   TimePoint m_next_cold_flow;
+  /// True if another target has started at the same address since, so that this one has certainly ended.
+  bool m_superseded = false;
 };
 
 /// The targets that a balancer knows. Records are merged in any order; a record that is older than the known one
@@ -53,9 +55,6 @@
   /// All targets of a service, in no particular order.
   [[nodiscard]] const std::vector<SteeringTarget*>& OfService(const std::string& service) const;
 
-  /// True if another target has started at the same address since, so that this one has certainly ended.
-  [[nodiscard]] bool IsSuperseded(const SteeringTarget& target) const;
-
   /// Replaces the flows that a balancer reported earlier. Unknown cookies are ignored.
   void SetRemoteFlows(const std::unordered_map<std::uint32_t, std::uint32_t>& flows_by_cookie);
 
@@ -64,12 +63,15 @@
 
  private:
   void Reindex();
+  void AddToIndexes(SteeringTarget* target);
+  // Sets which targets at an address have been superseded.
+  void RankStarts(const Endpoint& endpoint);
 
   // Node-based, so that the indexes may point into it.
   std::unordered_map<TargetId, SteeringTarget> m_targets;
   std::unordered_map<std::uint32_t, std::vector<SteeringTarget*>> m_by_cookie;
   std::map<std::string, std::vector<SteeringTarget*>> m_by_service;
-  std::map<Endpoint, std::uint64_t> m_last_born;
+  std::map<Endpoint, std::vector<SteeringTarget*>> m_by_endpoint;
 };
 
 }  // namespace fighatch
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -99,7 +99,7 @@
   SteeringDecision decision = ForwardTo(*target);
   NoteProgress(now, packet, target, &decision);
   const bool said_end = target->m_record.m_state == RecordState::kGone && now - target->m_state_since > kEndGrace;
-  if (said_end || m_targets.IsSuperseded(*target)) {
+  if (said_end || target->m_superseded) {
     // The target has certainly ended, so a reset lets the client try again at once.
     return Refuse(SteeringAction::kReset, ErrorCode::kPacketTargetEnded);
   }
@@ -223,7 +223,7 @@
 }
 
 bool CookieSteering::IsOpenForNewFlows(const SteeringTarget& target) const {
-  return target.m_record.m_state == RecordState::kReady && !m_targets.IsSuperseded(target) &&
+  return target.m_record.m_state == RecordState::kReady && !target.m_superseded &&
          !m_state.m_data_centres_out.contains(target.m_record.m_data_centre);
 }
 
--- a/src/steering/target_table.cc
+++ b/src/steering/target_table.cc
@@ -9,17 +9,18 @@
   SteeringTarget& target = found->second;
   if (!is_new && !IsNewer(record, target.m_record)) return false;
   const bool is_restart = !is_new && record.m_born_ms != target.m_record.m_born_ms;
-  if (is_restart) target = {};
+  const bool has_moved =
+      !is_new && (record.m_service != target.m_record.m_service || !(record.m_endpoint == target.m_record.m_endpoint));
   const bool changed = is_new || is_restart || !(record.m_state == target.m_record.m_state);
+  if (is_restart) target = {};
   if (changed) target.m_state_since = now;
-  const bool must_reindex = is_new || record.m_service != target.m_record.m_service;
   target.m_record = record;
   target.m_cold_until = now + std::chrono::milliseconds(record.m_cold_left_ms);
-  if (must_reindex) {
+  if (has_moved || is_restart) {
     Reindex();
-  } else {
-    std::uint64_t& last_born = m_last_born[record.m_endpoint];
-    last_born = std::max(last_born, record.m_born_ms);
+  } else if (is_new) {
+    AddToIndexes(&target);
+    RankStarts(record.m_endpoint);
   }
   return true;
 }
@@ -37,18 +38,28 @@
 void TargetTable::Reindex() {
   m_by_cookie.clear();
   m_by_service.clear();
-  m_last_born.clear();
-  for (auto& [id, target] : m_targets) {
-    std::uint64_t& last_born = m_last_born[target.m_record.m_endpoint];
-    last_born = std::max(last_born, target.m_record.m_born_ms);
-    m_by_cookie[CookieOf(id)].push_back(&target);
-    m_by_service[target.m_record.m_service].push_back(&target);
-  }
+  m_by_endpoint.clear();
+  for (auto& [id, target] : m_targets) AddToIndexes(&target);
+  for (const auto& [endpoint, targets] : m_by_endpoint) RankStarts(endpoint);
+}
+
+void TargetTable::AddToIndexes(SteeringTarget* target) {
+  m_by_cookie[CookieOf(target->m_record.m_id)].push_back(target);
+  m_by_service[target->m_record.m_service].push_back(target);
+  m_by_endpoint[target->m_record.m_endpoint].push_back(target);
+}
+
+void TargetTable::RankStarts(const Endpoint& endpoint) {
+  const std::vector<SteeringTarget*>& targets = m_by_endpoint[endpoint];
+  std::uint64_t last_born = 0;
+  for (const SteeringTarget* target : targets) last_born = std::max(last_born, target->m_record.m_born_ms);
+  for (SteeringTarget* target : targets) target->m_superseded = last_born > target->m_record.m_born_ms;
 }
 
 SteeringTarget* TargetTable::FindByCookie(std::uint32_t cookie) {
   const auto found = m_by_cookie.find(cookie);
   if (found == m_by_cookie.end()) return nullptr;
+  if (found->second.size() == 1) return found->second.front();
   return *std::max_element(found->second.begin(), found->second.end(), [](const auto* left, const auto* right) {
     return left->m_record.m_born_ms < right->m_record.m_born_ms;
   });
@@ -65,11 +76,6 @@
   return found == m_by_service.end() ? kNone : found->second;
 }
 
-bool TargetTable::IsSuperseded(const SteeringTarget& target) const {
-  const auto found = m_last_born.find(target.m_record.m_endpoint);
-  return found != m_last_born.end() && found->second > target.m_record.m_born_ms;
-}
-
 void TargetTable::SetRemoteFlows(const std::unordered_map<std::uint32_t, std::uint32_t>& flows_by_cookie) {
   for (auto& [id, target] : m_targets) {
     const auto found = flows_by_cookie.find(CookieOf(id));
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -37,8 +37,8 @@
     {MessageType::kSessionChallenge, "session_challenge"},
     {MessageType::kSessionHello, "session_hello"},
     {MessageType::kSyncRequest, "sync_request"},
-    {MessageType::kSyncReply, "sync_reply"},
     {MessageType::kLoadReport, "load_report"},
+    {MessageType::kSyncReply, "sync_reply"},
 });
 
 const MessageTypeName* Find(MessageType type) noexcept {
