--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -152,6 +152,8 @@
   m_resets.reserve(batch.size());
   for (const io::IncomingDatagram& datagram : batch) HandlePacket(now, datagram);
   if (!m_outgoing.empty()) m_packets->Send(m_outgoing);
+  // Each moment sooner that routers turn to other balancers saves the opening packets of that moment.
+  if (!m_stranded) NoteStranding(now);
   m_latencies.m_batch.Add(LogReplica::Now() - now);
 }
 
