--- a/include/fighatch/target_choice.h
+++ b/include/fighatch/target_choice.h
@@ -13,6 +13,9 @@
 
 namespace fighatch {
 
+/// Work time of a request that is assumed before the first sample, in milliseconds.
+inline constexpr double kDefaultWorkMs = 20;
+
 /// What a choice of target depends on apart from the targets themselves.
 struct ChoiceContext {
   TimePoint m_now;
--- a/programs/balancer/balancer.cc
+++ b/programs/balancer/balancer.cc
@@ -1,7 +1,6 @@
 #include "balancer.h"
 
 #include <glog/logging.h>
-#include <sodium.h>
 
 #include <algorithm>
 #include <boost/fiber/fiber.hpp>
@@ -10,24 +9,20 @@
 #include <cstring>
 #include <utility>
 
+#include "daemon/random_bits.h"
 #include "fighatch/incarnation.h"
 #include "io/synced_file_store.h"
 
 namespace fighatch::balancer {
 namespace {
 
+using daemon::RandomBits;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 constexpr milliseconds kTickInterval{10};
 constexpr const char* kStateFile = "state";
 
-std::uint64_t RandomBits() {
-  std::uint64_t bits = 0;
-  randombytes_buf(&bits, sizeof(bits));
-  return bits;
-}
-
 std::uint64_t WallClockMicros() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -1,12 +1,13 @@
 #include "daemon/log_replica.h"
 
 #include <glog/logging.h>
-#include <sodium.h>
 #include <time.h>
 #include <unistd.h>
 
 #include <boost/fiber/operations.hpp>
 
+#include "daemon/random_bits.h"
+
 namespace fighatch::daemon {
 namespace {
 
@@ -20,12 +21,6 @@
 // A process whose disk refuses writes waits before it ends, so that it is not restarted many times a second.
 constexpr std::chrono::milliseconds kStorageExitDelay{1000};
 
-Random MakeRandom() {
-  std::uint64_t seed = 0;
-  randombytes_buf(&seed, sizeof(seed));
-  return Random(seed);
-}
-
 bool IsEmpty(const RaftOutput& output) { return !output.m_vote && !output.m_snapshot && output.m_entries.empty(); }
 
 [[noreturn]] void ExitOnStorageError() {
@@ -42,7 +37,7 @@
       m_storage(storage),
       m_machine(machine),
       m_transport(transport),
-      m_node(options.m_raft, stored, Now(), MakeRandom()) {
+      m_node(options.m_raft, stored, Now(), Random(RandomBits())) {
   if (stored.m_snapshot) Restore(*stored.m_snapshot);
 }
 
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -1,7 +1,6 @@
 #include "daemon/steering_balancer.h"
 
 #include <glog/logging.h>
-#include <sodium.h>
 
 #include <algorithm>
 #include <boost/fiber/fiber.hpp>
@@ -11,6 +10,7 @@
 
 #include "daemon/log_replica.h"
 #include "daemon/metrics_server.h"
+#include "daemon/random_bits.h"
 #include "daemon/seed_reload.h"
 #include "fighatch/host_address.h"
 
@@ -51,12 +51,6 @@
 constexpr std::size_t kPacketBytes = 2048;
 constexpr std::size_t kPacketBatch = 32;
 
-std::uint64_t RandomBits() {
-  std::uint64_t bits = 0;
-  randombytes_buf(&bits, sizeof(bits));
-  return bits;
-}
-
 SteeringOptions MakeSteeringOptions(const config::SteeringBalancerSettings& settings) {
   SteeringOptions options;
   options.m_self = settings.m_discovery.Self();
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -1,7 +1,6 @@
 #include "daemon/steering_control.h"
 
 #include <glog/logging.h>
-#include <sodium.h>
 
 #include <algorithm>
 #include <boost/fiber/fiber.hpp>
@@ -9,6 +8,7 @@
 #include <utility>
 
 #include "daemon/metrics_server.h"
+#include "daemon/random_bits.h"
 #include "daemon/seed_reload.h"
 #include "fighatch/host_address.h"
 
@@ -36,12 +36,6 @@
 // A host reads at most so many documents again when it starts.
 constexpr std::uint64_t kSnapshotEntries = 32;
 
-std::uint64_t RandomBits() {
-  std::uint64_t bits = 0;
-  randombytes_buf(&bits, sizeof(bits));
-  return bits;
-}
-
 DirectoryOptions MakeDirectoryOptions(const config::SteeringControlSettings& settings) {
   DirectoryOptions options;
   options.m_silent_after = settings.m_announcement_period * kMissedAnnouncements + kAnnouncementSlack;
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -32,8 +32,6 @@
 // Waiting packets, and those whose answer is late in any case, fill a target only up to this many times its slots, so
 // that new ones find short queues.
 constexpr double kReleaseRounds = 1;
-// Work time that is assumed before the first sample.
-constexpr double kDefaultWorkMs = 20;
 // With a limited rate of cold flows, one window may exceed the rate by this many flows.
 constexpr double kColdBurst = 4;
 
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -12,8 +12,6 @@
 constexpr double kOtherDataCentreMs = 4;
 // How much longer a cold target takes for a request.
 constexpr double kColdFactor = 1.6;
-// Work time that is assumed before the first sample, in milliseconds.
-constexpr double kDefaultWorkMs = 20;
 // A target's own mean work time counts only if it is this many times that of its service: smaller differences are
 // chance, and would send all balancers to the same target.
 constexpr double kSlowFactor = 2;
