--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -188,6 +188,13 @@
         self.version, self.sent, self.acked = 0, {}, 0
         self.operator_mode = "pass"
 
+    def close(self):
+        """Ends targets and callers, so that another run may use their addresses."""
+        for task in self.tasks:
+            task.cancel()
+        for end in self.targets + self.callers:
+            end.transport.close()
+
     def note_open(self, opened):
         self.opened += opened
         self.refused += not opened
@@ -226,6 +233,7 @@
         address = f"127.{self.network}.4.{number}"
         caller = Caller(self, address)
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: caller, local_addr=(address, PACKET_PORT))
+        self.callers.append(caller)
         for _ in range(flows):
             self.tasks.append(asyncio.create_task(self.keep_calling(caller)))
 
--- a/src/steering/routing_log.cc
+++ b/src/steering/routing_log.cc
@@ -63,21 +63,19 @@
     return left.second->m_version > right.second->m_version;
   });
   std::vector<std::pair<LogIndex, Error>> errors;
-  std::optional<LogIndex> newest;
-  RoutingState routing;
+  std::optional<std::pair<LogIndex, RoutingState>> newest;
   for (const auto& [index, document] : documents) {
     if (!m_document.empty() && document->m_version <= m_published->m_routing.m_version) break;
     Result<RoutingState> read = m_reader->Read(document->m_text);
     if (IsOk(read)) {
-      newest = index;
-      routing = std::move(ValueOf(read));
+      newest.emplace(index, std::move(ValueOf(read)));
       break;
     }
     errors.emplace_back(index, ErrorOf(read));
   }
   for (const auto& [index, order] : orders) {
     if (const auto* data_centre = std::get_if<DataCentreOrder>(&order)) (void)ApplyOrder(index, *data_centre);
-    if (newest == index) Adopt(index, std::get<DocumentOrder>(order).m_text, std::move(routing));
+    if (newest && newest->first == index) Adopt(index, std::get<DocumentOrder>(order).m_text, newest->second);
   }
   return errors;
 }
