--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -187,9 +187,11 @@
         self.opened = self.refused = self.recent_opened = self.recent_refused = 0
         self.version, self.sent, self.acked = 0, {}, 0
         self.operator_mode = "pass"
+        self.closed = False
 
     def close(self):
         """Ends targets and callers, so that another run may use their addresses."""
+        self.closed = True
         for task in self.tasks:
             task.cancel()
         for end in self.targets + self.callers:
@@ -238,7 +240,8 @@
             self.tasks.append(asyncio.create_task(self.keep_calling(caller)))
 
     async def keep_calling(self, caller):
-        while True:
+        # A cancellation that meets the end of a wait is lost in it, so that the flag ends the task as well.
+        while not self.closed:
             await caller.flow()
             await asyncio.sleep(random.uniform(0.01, 0.3))
 
