Keep the reload of seeds in one place; ask for contact only when stranded

Cause: both steering daemons held the settings path, the watch and the time of the last reload, and decided alike when to read the file again. NoteStranding, since it runs after each batch of packets, walked the links to control hosts for every batch, though the answer is used only when it is stranded.

Change: SeedReload holds that state and decides; NoteStranding returns first if nothing is stranded. Same conditions, same log lines.

--- a/src/daemon/seed_reload.h
+++ b/src/daemon/seed_reload.h
@@ -3,29 +3,64 @@
 
 #include <glog/logging.h>
 
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "config/discovery_settings.h"
 #include "daemon/program.h"
+#include "daemon/settings_watch.h"
+#include "fighatch/sync_client.h"
 
 namespace fighatch::daemon {
 
-/// Reads the settings file again and takes over its seeds; addresses, ports and folders belong to what is open and
-/// change only with a restart. A file that cannot be read or has errors changes nothing. `cause` is for the log.
+/// Keeps the seeds of a daemon as its settings file has them. Addresses, ports and folders belong to what is open and
+/// change only with a restart. A file that cannot be read or has errors changes nothing.
 template <typename Settings>
-void ReloadSeeds(const std::string& path, Result<Settings> (*parse)(std::string_view text), std::string_view cause,
-                 config::DiscoverySettings* discovery) {
-  const Result<std::string> text = ReadSettingsFile(path);
-  const Result<Settings> settings = IsOk(text) ? parse(ValueOf(text)) : Result<Settings>(ErrorOf(text));
-  if (!IsOk(settings)) {
-    LOG(ERROR) << "event=reload_refused cause=" << cause << " " << ToString(ErrorOf(settings))
-               << " next=\"the settings in force stay\"";
-    return;
+class SeedReload {
+ public:
+  using Parse = Result<Settings> (*)(std::string_view text);
+
+  /// Gives the client the seeds that are in force; `discovery` and `client` must outlive this object.
+  SeedReload(std::string path, Parse parse, config::DiscoverySettings* discovery, SyncClient* client)
+      : m_path(std::move(path)), m_parse(parse), m_discovery(discovery), m_client(client), m_watch(m_path) {
+    m_client->SetSeeds(m_discovery->SeedHosts());
+  }
+
+  /// Reads the file again if it has changed. Without contact to control hosts it is also read from time to time: the
+  /// seeds in it may be others although it looks the same.
+  void Check(bool has_contact) {
+    if (m_watch.TakeChange()) return Reload("file_changed");
+    const bool is_due = std::chrono::steady_clock::now() - m_last_reload > kReloadWithoutContact;
+    if (is_due && !has_contact) Reload("no_contact");
   }
-  discovery->m_seeds = ValueOf(settings).m_discovery.m_seeds;
-  LOG(INFO) << "event=reloaded cause=" << cause << " seeds=" << discovery->m_seeds.size();
-}
+
+  /// Reads the file again; `cause` is for the log.
+  void Reload(std::string_view cause) {
+    m_last_reload = std::chrono::steady_clock::now();
+    const Result<std::string> text = ReadSettingsFile(m_path);
+    const Result<Settings> settings = IsOk(text) ? m_parse(ValueOf(text)) : Result<Settings>(ErrorOf(text));
+    if (!IsOk(settings)) {
+      LOG(ERROR) << "event=reload_refused cause=" << cause << " " << ToString(ErrorOf(settings))
+                 << " next=\"the settings in force stay\"";
+      return;
+    }
+    m_discovery->m_seeds = ValueOf(settings).m_discovery.m_seeds;
+    m_client->SetSeeds(m_discovery->SeedHosts());
+    LOG(INFO) << "event=reloaded cause=" << cause << " seeds=" << m_discovery->m_seeds.size();
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kReloadWithoutContact{1000};
+
+  std::string m_path;
+  Parse m_parse;
+  config::DiscoverySettings* m_discovery;
+  SyncClient* m_client;
+  SettingsWatch m_watch;
+  std::chrono::steady_clock::time_point m_last_reload = std::chrono::steady_clock::now();
+};
 
 }  // namespace fighatch::daemon
 
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -11,7 +11,6 @@
 #include "daemon/log_replica.h"
 #include "daemon/metrics_server.h"
 #include "daemon/random_bits.h"
-#include "daemon/seed_reload.h"
 #include "fighatch/host_address.h"
 
 namespace fighatch::daemon {
@@ -30,8 +29,6 @@
 constexpr milliseconds kShortestReportInterval{20};
 // With more balancers, load is reported within the data centre only.
 constexpr std::size_t kMaxReceiversEverywhere = 16;
-// Without any reply of a control host, the settings are read again after this time: they may name other seeds.
-constexpr milliseconds kReloadWithoutContact{1000};
 // A stopping balancer serves at least this long, until the routers have seen that it is not ready.
 constexpr milliseconds kShortestDrain{1500};
 // It ends when no packet has come for this long.
@@ -71,17 +68,13 @@
 SteeringBalancer::SteeringBalancer(config::SteeringBalancerSettings settings, std::string settings_path,
                                    const PacketCodec* codec)
     : m_settings(std::move(settings)),
-      m_settings_path(std::move(settings_path)),
-      m_settings_watch(m_settings_path),
       m_codec(codec),
       m_steering(MakeSteeringOptions(m_settings), MakeSampledExpectedTimeChoice(Random(RandomBits()), kChoiceSamples),
                  Random(RandomBits())),
       m_sync(MakeSyncOptions(m_settings)),
+      m_seeds(std::move(settings_path), config::ParseSteeringBalancerSettings, &m_settings.m_discovery, &m_sync),
       m_lines(m_settings.m_discovery.m_log_lines_per_second),
-      m_last_packet(steady_clock::now()),
-      m_last_reload(steady_clock::now()) {
-  m_sync.SetSeeds(m_settings.m_discovery.SeedHosts());
-}
+      m_last_packet(steady_clock::now()) {}
 
 Status SteeringBalancer::Open(io::HttpHandler readiness) {
   io::UdpOptions options;
@@ -255,15 +248,15 @@
 }
 
 void SteeringBalancer::NoteStranding(TimePoint now) {
-  const std::optional<TimePoint> stranded_at = m_steering.StrandedAt();
-  const bool is_current = m_sync.IsCurrent(now);
-  if (!m_stranded && stranded_at && now - *stranded_at < kStrandedMemory) {
+  if (!m_stranded) {
+    const std::optional<TimePoint> stranded_at = m_steering.StrandedAt();
+    if (!stranded_at || now - *stranded_at >= kStrandedMemory) return;
     m_stranded = true;
     m_stranded_since = now;
-    LOG(WARNING) << "event=stranded meaning=\"no target answers\" control=" << is_current;
+    LOG(WARNING) << "event=stranded meaning=\"no target answers\" control=" << m_sync.IsCurrent(now);
     return;
   }
-  if (!m_stranded) return;
+  const bool is_current = m_sync.IsCurrent(now);
   const Duration since = now - m_stranded_since;
   const bool is_over = (is_current && since >= kStrandedWithControl) || since >= kStrandedLongest;
   if (!is_over) return;
@@ -338,17 +331,11 @@
     m_steering.Tick(now);
     NoteStranding(now);
     LogContact(now);
-    ReloadIfNeeded(now);
+    m_seeds.Check(m_sync.HearsAny(now));
     boost::this_fiber::sleep_for(m_sync.IsCurrent(now) && !m_stranded ? kFollowInterval : kSearchInterval);
   }
 }
 
-void SteeringBalancer::ReloadIfNeeded(TimePoint now) {
-  if (m_settings_watch.TakeChange()) return ReloadSettings("file_changed");
-  const bool is_due = steady_clock::now() - m_last_reload > kReloadWithoutContact;
-  if (is_due && !m_sync.HearsAny(now)) ReloadSettings("no_contact");
-}
-
 void SteeringBalancer::LogContact(TimePoint now) {
   const bool is_current = m_sync.IsCurrent(now);
   if (is_current != m_was_current) {
@@ -400,16 +387,10 @@
 
 void SteeringBalancer::AwaitStop(StopSignal* stop) {
   while (!stop->Wait(io::kNoDeadline)) {
-    if (stop->TakeReload()) ReloadSettings("signal");
+    if (stop->TakeReload()) m_seeds.Reload("signal");
   }
 }
 
-void SteeringBalancer::ReloadSettings(std::string_view cause) {
-  m_last_reload = steady_clock::now();
-  ReloadSeeds(m_settings_path, config::ParseSteeringBalancerSettings, cause, &m_settings.m_discovery);
-  m_sync.SetSeeds(m_settings.m_discovery.SeedHosts());
-}
-
 void SteeringBalancer::Drain() {
   m_stopping = true;
   const auto started = steady_clock::now();
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -10,7 +10,7 @@
 
 #include "config/steering_balancer_settings.h"
 #include "daemon/packet_codec.h"
-#include "daemon/settings_watch.h"
+#include "daemon/seed_reload.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/admission_queue.h"
 #include "fighatch/cookie_steering.h"
@@ -79,22 +79,19 @@
   void ServeMessages();
   void HandleReply(TimePoint now, const SyncReply& reply);
   void FollowControl();
-  void ReloadIfNeeded(TimePoint now);
   void ReportLoad();
   [[nodiscard]] std::vector<HostId> ReportReceivers() const;
   void AwaitStop(StopSignal* stop);
   void Drain();
-  void ReloadSettings(std::string_view cause);
   void LogContact(TimePoint now);
   void AddMetrics();
   void SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload);
 
   config::SteeringBalancerSettings m_settings;
-  std::string m_settings_path;
-  SettingsWatch m_settings_watch;
   const PacketCodec* m_codec;
   CookieSteering m_steering;
   SyncClient m_sync;
+  SeedReload<config::SteeringBalancerSettings> m_seeds;
   std::optional<io::UdpSocket> m_packets;
   std::optional<io::PlainMessageSocket> m_messages;
   std::unique_ptr<io::HttpServer> m_readiness;
@@ -106,7 +103,6 @@
   std::vector<io::OutgoingDatagram> m_outgoing;
   std::vector<std::vector<std::byte>> m_resets;
   std::chrono::steady_clock::time_point m_last_packet;
-  std::chrono::steady_clock::time_point m_last_reload;
   AdmissionQueue m_waiting;
   // Set while no target answers; then other balancers should get the packets.
   bool m_stranded = false;
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -9,7 +9,6 @@
 
 #include "daemon/metrics_server.h"
 #include "daemon/random_bits.h"
-#include "daemon/seed_reload.h"
 #include "fighatch/host_address.h"
 
 namespace fighatch::daemon {
@@ -26,8 +25,6 @@
 // How long a target waits until a majority knows its state: callers give up after a second.
 constexpr milliseconds kConfirmationTimeout{700};
 constexpr milliseconds kHandOverTimeout{1000};
-// Without contact to a leader, the settings are read again after this time: they may name other seeds.
-constexpr milliseconds kReloadWithoutContact{1000};
 // Announcements in a row that must be missing before a target counts as silent.
 constexpr int kMissedAnnouncements = 3;
 constexpr milliseconds kAnnouncementSlack{600};
@@ -99,20 +96,16 @@
 SteeringControl::SteeringControl(config::SteeringControlSettings settings, std::string settings_path,
                                  const DocumentReader* reader)
     : m_settings(std::move(settings)),
-      m_settings_path(std::move(settings_path)),
-      m_settings_watch(m_settings_path),
       m_reader(reader),
       m_machine(reader),
       m_directory(MakeDirectoryOptions(m_settings)),
       m_server(m_settings.m_discovery.Self(), RandomBits(), &m_directory, &m_machine.Log()),
       m_client(MakeSyncOptions(m_settings)),
+      m_seeds(std::move(settings_path), config::ParseSteeringControlSettings, &m_settings.m_discovery, &m_client),
       m_files(m_settings.m_data_folder),
       m_cache(&m_files),
       m_commit_mark(&m_files),
-      m_lines(m_settings.m_discovery.m_log_lines_per_second),
-      m_last_reload(steady_clock::now()) {
-  m_client.SetSeeds(m_settings.m_discovery.SeedHosts());
-}
+      m_lines(m_settings.m_discovery.m_log_lines_per_second) {}
 
 Status SteeringControl::Open(io::HttpHandler handler) {
   Status storage = OpenStorage();
@@ -161,7 +154,7 @@
   fibers.emplace_back([this] { m_http->Serve(); });
   if (m_metrics_server) fibers.emplace_back([this] { m_metrics_server->Serve(); });
   while (!stop->Wait(io::kNoDeadline)) {
-    if (stop->TakeReload()) ReloadSettings("signal");
+    if (stop->TakeReload()) m_seeds.Reload("signal");
   }
   LOG(INFO) << "event=stopping role=" << RaftRoleName(m_log->Node().Role());
   m_log->HandOver(steady_clock::now() + kHandOverTimeout);
@@ -342,7 +335,7 @@
              EncodeSyncRequest(request));
     }
     const bool in_contact = m_log->IsInContact();
-    ReloadIfNeeded(in_contact);
+    m_seeds.Check(in_contact);
     boost::this_fiber::sleep_for(in_contact ? kFollowInterval : kSearchInterval);
   }
 }
@@ -373,16 +366,4 @@
   PushChanges();
 }
 
-void SteeringControl::ReloadIfNeeded(bool in_contact) {
-  if (m_settings_watch.TakeChange()) return ReloadSettings("file_changed");
-  const bool is_due = steady_clock::now() - m_last_reload > kReloadWithoutContact;
-  if (is_due && !in_contact) ReloadSettings("no_contact");
-}
-
-void SteeringControl::ReloadSettings(std::string_view cause) {
-  m_last_reload = steady_clock::now();
-  ReloadSeeds(m_settings_path, config::ParseSteeringControlSettings, cause, &m_settings.m_discovery);
-  m_client.SetSeeds(m_settings.m_discovery.SeedHosts());
-}
-
 }  // namespace fighatch::daemon
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -14,7 +14,7 @@
 #include "daemon/blocking_worker.h"
 #include "daemon/control_service.h"
 #include "daemon/log_replica.h"
-#include "daemon/settings_watch.h"
+#include "daemon/seed_reload.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/commit_mark.h"
 #include "fighatch/file_log_storage.h"
@@ -104,19 +104,16 @@
   // Saves targets and the commit mark while the host runs.
   void SaveRestartState();
   void SaveCommitMark();
-  void ReloadIfNeeded(bool in_contact);
-  void ReloadSettings(std::string_view cause);
   void AddMetrics();
   void SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload);
 
   config::SteeringControlSettings m_settings;
-  std::string m_settings_path;
-  SettingsWatch m_settings_watch;
   const DocumentReader* m_reader;
   RoutingMachine m_machine;
   TargetDirectory m_directory;
   SyncServer m_server;
   SyncClient m_client;
+  SeedReload<config::SteeringControlSettings> m_seeds;
   io::SyncedFileStore m_files;
   TargetCache m_cache;
   CommitMark m_commit_mark;
@@ -137,7 +134,6 @@
   Receiver m_log_receiver;
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_confirmed;
-  std::chrono::steady_clock::time_point m_last_reload;
   bool m_was_in_contact = false;
   bool m_done = false;
 };
