Sum over the targets that may take flows in one place

Cause: ReleaseBudget and WaitingLimit walked the targets with the same filter and divided by the number of balancers alike.

Change: OwnShare does both; each gives it the amount to sum.

--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -140,6 +140,8 @@
   // Flows that the others have probably placed at each of the candidates since they last reported: routers spread
   // flows evenly, so when many come here at once, many come to the others too.
   [[nodiscard]] double UnseenFlows(TimePoint now, const std::string& service, std::size_t candidates);
+  // This balancer's share of an amount that is summed over all targets that may take new flows.
+  [[nodiscard]] double OwnShare(TimePoint now, double (*amount)(const SteeringTarget& target)) const;
   [[nodiscard]] bool IsOpenForNewFlows(const SteeringTarget& target) const;
   [[nodiscard]] bool MayTakeFlow(TimePoint now, const SteeringTarget& target) const;
   [[nodiscard]] bool MayTakeColdFlow(TimePoint now, const SteeringTarget& target) const;
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -225,27 +225,29 @@
          !m_state.m_data_centres_out.contains(target.m_record.m_data_centre);
 }
 
-std::size_t CookieSteering::ReleaseBudget(TimePoint now) const {
-  double room = 0;
+double CookieSteering::OwnShare(TimePoint now, double (*amount)(const SteeringTarget& target)) const {
+  double sum = 0;
   for (const auto& [id, target] : m_targets.All()) {
-    if (!IsOpenForNewFlows(target) || !MayTakeFlow(now, target)) continue;
-    room += std::max(0.0, SlotsOf(target) * kReleaseRounds - FlowsAt(target));
+    if (IsOpenForNewFlows(target) && MayTakeFlow(now, target)) sum += amount(target);
   }
-  const double balancers = static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1));
-  const auto share = static_cast<std::size_t>(std::ceil(room / balancers));
+  return sum / static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1));
+}
+
+std::size_t CookieSteering::ReleaseBudget(TimePoint now) const {
+  const double room = OwnShare(now, [](const SteeringTarget& target) {
+    return std::max(0.0, SlotsOf(target) * kReleaseRounds - FlowsAt(target));
+  });
+  const auto budget = static_cast<std::size_t>(std::ceil(room));
   // The other balancers may not all be known yet, so that this one's share may look larger than it is.
-  return now < m_learning_until ? std::min<std::size_t>(share, 1) : share;
+  return now < m_learning_until ? std::min<std::size_t>(budget, 1) : budget;
 }
 
 std::size_t CookieSteering::WaitingLimit(TimePoint now) const {
   if (m_state.m_index == 0 || now < m_learning_until) return AdmissionQueue::kMaxPackets;
-  double served_per_ms = 0;
-  for (const auto& [id, target] : m_targets.All()) {
-    if (!IsOpenForNewFlows(target) || !MayTakeFlow(now, target)) continue;
-    served_per_ms += SlotsOf(target) / (target.m_work_ms > 0 ? target.m_work_ms : kDefaultWorkMs);
-  }
-  const double share = served_per_ms / static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1));
-  const double limit = share * Milliseconds(AdmissionQueue::kLongestWait);
+  const double served_per_ms = OwnShare(now, [](const SteeringTarget& target) {
+    return SlotsOf(target) / (target.m_work_ms > 0 ? target.m_work_ms : kDefaultWorkMs);
+  });
+  const double limit = served_per_ms * Milliseconds(AdmissionQueue::kLongestWait);
   return static_cast<std::size_t>(std::clamp<double>(limit, 1, AdmissionQueue::kMaxPackets));
 }
 
