Read back every log entry that was acknowledged, whatever its size

Cause: the reader of the log refused records above 256 KiB, the writer did not. A document of 3,000 routes (266,600 to 361,299 bytes) was written, synced and acknowledged. At the next restart of all control hosts it and everything after it was lost: with a later readable batch the log counted as corrupt and was set aside by every host at once; without one it counted as a torn tail and was truncated, so that the log went on with lower indexes, which balancers ignore as old. The second case is the fault of balancers that stay on an older version although a newer one was acknowledged; it needs no cause of its own.

Ruled out: loss of fragments, and replies of a control host that is behind (the log of the balancers shows no refused message, and none after the restart).

Change: the reader has no limit of its own, since the checksum decides. The limit is checked before anything is written: RaftNode::Propose, AppendRequest and FileLogStorage::Append refuse payloads above kMaxEntryPayloadBytes. Bodies are compressed. A record whose checksum is right and that does not decode is kStorageUnreadable and no longer a damaged disk. FileLogStorage can list and restore files that were set aside.

Measured: the new tests of storage_log_test failed before (sizes above 262,144 bytes) and pass.

--- a/include/fighatch/error.h
+++ b/include/fighatch/error.h
@@ -77,6 +77,8 @@
   kStorageSyncFailed = 6004,
   kStorageWrongIdentity = 6005,
   kConsensusNotMember = 6006,
+  kStorageUnreadable = 6007,
+  kStorageEntryTooLarge = 6008,
 
   kAnnouncementMalformed = 7001,
   kAnnouncementForged = 7002,
--- a/include/fighatch/file_log_storage.h
+++ b/include/fighatch/file_log_storage.h
@@ -17,6 +17,8 @@
 /// replaced atomically as a whole; `log-<number of the first batch in hexadecimal>` are append-only segments of
 /// records. `Open` truncates a torn tail (an append that a crash interrupted). A damaged record before the tail is
 /// refused with `kStorageCorrupt`; the host then has to rejoin under a new identity (`SetAside`, then `Format`).
+/// Content with a valid checksum that this program cannot read is refused with `kStorageUnreadable`: the files are
+/// intact and must be kept for a release that reads them.
 ///
 /// \code
 /// Result<bool> formatted = FileLogStorage::IsFormatted(&directory);
@@ -36,13 +38,26 @@
   /// Initialises an empty folder with an empty vote and the identity.
   [[nodiscard]] static Status Format(StorageDirectory* directory, const DiskIdentity& identity);
 
-  /// Renames all files to `aside-<number>-<name>`, so that the folder counts as empty. The renamed files are never read
-  /// again; they are kept for inspection.
+  /// Renames all files to `aside-<number>-<name>`, so that the folder counts as empty. The renamed files are kept for
+  /// inspection and for `RestoreSetAside`.
   [[nodiscard]] static Status SetAside(StorageDirectory* directory);
 
+  /// Undoes a `SetAside`: sets the present files aside in turn, and renames those of set `number` back. Call it only
+  /// while no process uses the folder. Errors: `kStorageIo` if there is no such set.
+  [[nodiscard]] static Status RestoreSetAside(StorageDirectory* directory, std::uint64_t number);
+
+  /// The numbers of the sets of files that `SetAside` has made, in ascending order.
+  [[nodiscard]] static Result<std::vector<std::uint64_t>> ListSetsAside(StorageDirectory* directory);
+
+  /// The prefix of the names of the files in set `number`.
+  [[nodiscard]] static std::string SetAsidePrefix(std::uint64_t number);
+
+  /// Reads the identity alone. Errors: `kStorageIo`, `kStorageCorrupt`, `kStorageUnreadable`.
+  [[nodiscard]] static Result<DiskIdentity> ReadIdentity(StorageDirectory* directory);
+
   /// Reads all files, truncates a torn tail, and removes the log if the snapshot has replaced it. Errors:
-  /// `kStorageCorrupt`, `kStorageWrongIdentity` if the folder belongs to another host, `kStorageIo`,
-  /// `kStorageSyncFailed`.
+  /// `kStorageCorrupt`, `kStorageUnreadable`, `kStorageWrongIdentity` if the folder belongs to another host,
+  /// `kStorageIo`, `kStorageSyncFailed`.
   [[nodiscard]] static Result<std::unique_ptr<FileLogStorage>> Open(StorageDirectory* directory, HostId host,
                                                                     std::size_t segment_bytes = kSegmentBytes);
 
--- a/include/fighatch/log_storage.h
+++ b/include/fighatch/log_storage.h
@@ -59,7 +59,9 @@
 
   [[nodiscard]] virtual Status SaveVote(const RaftVote& vote) = 0;
 
-  /// Appends entries with consecutive indexes. The first entry replaces all stored entries from its index on.
+  /// Appends entries with consecutive indexes. The first entry replaces all stored entries from its index on. Errors:
+  /// also `kStorageEntryTooLarge` for a payload above `kMaxEntryPayloadBytes`, before anything is written; the storage
+  /// stays usable.
   [[nodiscard]] virtual Status Append(std::span<const LogEntry> entries) = 0;
 
   /// Stores a snapshot of the locally applied state; entries below `keep_from` may be deleted.
--- a/include/fighatch/raft_message.h
+++ b/include/fighatch/raft_message.h
@@ -83,6 +83,10 @@
   kConfiguration = 2,
 };
 
+/// Largest payload of a log entry. `RaftNode::Propose` refuses a larger one; everything that stores or carries entries
+/// has a higher limit.
+inline constexpr std::size_t kMaxEntryPayloadBytes = (4 << 20) + (64 << 10);
+
 /// An entry of the replicated log.
 struct LogEntry {
   LogIndex m_index = 0;
--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -94,7 +94,8 @@
   void Receive(TimePoint now, const RaftMessage& message);
 
   /// Appends a payload to the leader's log and returns its index and term. It is accepted once an entry with this index
-  /// and term appears in `RaftOutput::m_committed`. Errors: `kTicketNotLeader`.
+  /// and term appears in `RaftOutput::m_committed`. Errors: `kTicketNotLeader`, `kTicketTooLarge` for a payload above
+  /// `kMaxEntryPayloadBytes`.
   [[nodiscard]] Result<std::pair<LogIndex, Term>> Propose(TimePoint now, std::string payload);
 
   /// Hands leadership to a voter as soon as one has the complete log; of several, to the one heard from most recently.
--- a/src/consensus/file_log_storage.cc
+++ b/src/consensus/file_log_storage.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <iterator>
+#include <set>
 
 #include "consensus/log_record.h"
 #include "wire/codec.h"
@@ -62,7 +64,7 @@
   const Result<std::string_view> content = DecodeChecksummedFile(ValueOf(bytes));
   if (!IsOk(content)) return MakeError(ErrorCode::kStorageCorrupt, std::string(name));
   Result<T> value = wire::Decode<T>(std::as_bytes(std::span(ValueOf(content))));
-  if (!IsOk(value)) return MakeError(ErrorCode::kStorageCorrupt, std::string(name));
+  if (!IsOk(value)) return MakeError(ErrorCode::kStorageUnreadable, std::string(name));
   *out = std::move(ValueOf(value));
   return OkStatus();
 }
@@ -91,7 +93,7 @@
   if (!IsOk(listed)) return ErrorOf(listed);
   std::vector<std::string> names = ValueOf(listed);
   std::uint64_t attempt = 1;
-  const auto prefix = [&attempt] { return std::string(kAsidePrefix) + std::to_string(attempt) + "-"; };
+  const auto prefix = [&attempt] { return SetAsidePrefix(attempt); };
   while (std::any_of(names.begin(), names.end(), [&](const auto& name) { return name.starts_with(prefix()); }))
     ++attempt;
   std::erase_if(names, [](const std::string& name) { return !IsActiveFile(name); });
@@ -106,6 +108,52 @@
   return OkStatus();
 }
 
+std::string FileLogStorage::SetAsidePrefix(std::uint64_t number) {
+  return std::string(kAsidePrefix) + std::to_string(number) + "-";
+}
+
+Result<std::vector<std::uint64_t>> FileLogStorage::ListSetsAside(StorageDirectory* directory) {
+  const Result<std::vector<std::string>> names = directory->List();
+  if (!IsOk(names)) return ErrorOf(names);
+  std::set<std::uint64_t> numbers;
+  for (const std::string& name : ValueOf(names)) {
+    if (!name.starts_with(kAsidePrefix)) continue;
+    std::uint64_t number = 0;
+    const char* end = name.data() + name.size();
+    const auto parsed = std::from_chars(name.data() + kAsidePrefix.size(), end, number);
+    if (parsed.ec == std::errc() && parsed.ptr != end && *parsed.ptr == '-') numbers.insert(number);
+  }
+  return std::vector<std::uint64_t>(numbers.begin(), numbers.end());
+}
+
+Status FileLogStorage::RestoreSetAside(StorageDirectory* directory, std::uint64_t number) {
+  const std::string prefix = SetAsidePrefix(number);
+  const Result<std::vector<std::string>> listed = directory->List();
+  if (!IsOk(listed)) return ErrorOf(listed);
+  std::vector<std::string> names;
+  std::copy_if(ValueOf(listed).begin(), ValueOf(listed).end(), std::back_inserter(names),
+               [&prefix](const std::string& name) { return name.starts_with(prefix); });
+  if (names.empty()) return MakeError(ErrorCode::kStorageIo, "there are no files " + prefix + "*");
+  Status present = SetAside(directory);
+  if (!IsOk(present)) return present;
+  // The identity is renamed last: after a crash before it the folder is refused, and the call can be repeated.
+  std::stable_partition(names.begin(), names.end(),
+                        [&prefix](const std::string& name) { return name != prefix + std::string(kIdentityFile); });
+  for (const std::string& name : names) {
+    Status status = RunUntilError([&] { return directory->Rename(name, name.substr(prefix.size())); },
+                                  [&] { return directory->SyncFolder(); });
+    if (!IsOk(status)) return status;
+  }
+  return OkStatus();
+}
+
+Result<DiskIdentity> FileLogStorage::ReadIdentity(StorageDirectory* directory) {
+  DiskIdentity identity;
+  const Status status = LoadFile(directory, kIdentityFile, &identity);
+  if (!IsOk(status)) return ErrorOf(status);
+  return identity;
+}
+
 Result<std::unique_ptr<FileLogStorage>> FileLogStorage::Open(StorageDirectory* directory, HostId host,
                                                              std::size_t segment_bytes) {
   std::unique_ptr<FileLogStorage> storage(new FileLogStorage(directory, segment_bytes));
@@ -160,6 +208,10 @@
   const auto parsed = std::from_chars(name.data() + kSegmentPrefix.size(), name_end, first_batch, 16);
   if (parsed.ptr != name_end || first_batch <= m_last_batch) return MakeError(ErrorCode::kStorageCorrupt, name);
   SegmentContent content = DecodeSegment(ValueOf(bytes), first_batch);
+  if (content.m_tail == SegmentTail::kUnreadable) {
+    return MakeError(ErrorCode::kStorageUnreadable,
+                     name + " at byte " + std::to_string(content.m_valid_bytes) + ": " + content.m_detail);
+  }
   if (content.m_tail == SegmentTail::kCorrupt || (content.m_tail == SegmentTail::kTorn && !is_last)) {
     return MakeError(ErrorCode::kStorageCorrupt, name + " at byte " + std::to_string(content.m_valid_bytes));
   }
@@ -232,6 +284,8 @@
 
 Status FileLogStorage::Append(std::span<const LogEntry> entries) {
   if (!IsOk(m_status) || entries.empty()) return m_status;
+  // Checked before anything is written, so that the storage stays usable.
+  if (!std::all_of(entries.begin(), entries.end(), FitsRecord)) return MakeError(ErrorCode::kStorageEntryTooLarge);
   return LatchError(DoAppend(entries));
 }
 
--- a/src/consensus/log_record.cc
+++ b/src/consensus/log_record.cc
@@ -1,5 +1,8 @@
 #include "consensus/log_record.h"
 
+#include <zstd.h>
+
+#include <algorithm>
 #include <array>
 #include <boost/crc.hpp>
 #include <cstring>
@@ -13,8 +16,15 @@
 constexpr std::uint32_t kRecordMagic = 0x524C4846;  // "FHLR"
 constexpr std::uint32_t kFileMagic = 0x46574846;    // "FHWF"
 constexpr std::uint32_t kLastInBatchFlag = 1;
-// Larger than any entry; bounds the bytes that are read for a record whose length is damaged.
-constexpr std::size_t kMaxRecordBytes = 256 * 1024;
+// The body is compressed with zstd.
+constexpr std::uint32_t kCompressedFlag = 2;
+constexpr std::uint32_t kKnownFlags = kLastInBatchFlag | kCompressedFlag;
+// Smaller bodies are stored uncompressed.
+constexpr std::size_t kCompressionThresholdBytes = 512;
+constexpr int kCompressionLevel = 1;
+// Index, term and kind of an entry and the length of its payload, with room to spare.
+constexpr std::size_t kEntryOverheadBytes = 64;
+constexpr std::size_t kMaxBodyBytes = kMaxEntryPayloadBytes + kEntryOverheadBytes;
 
 // Copied to and from the file as it stands in memory, in little-endian order. The codec of the body requires a
 // little-endian host anyway.
@@ -41,19 +51,58 @@
   return crc.checksum();
 }
 
-// Reads the record at the start of the bytes; empty if it is incomplete or damaged.
+// Reads the record at the start of the bytes; empty if it is incomplete or damaged. The checksum alone decides: a limit
+// on the length here could refuse what was written and acknowledged.
 std::optional<Record> ReadRecord(std::string_view bytes) {
   Record record;
   if (bytes.size() < sizeof(RecordHeader)) return std::nullopt;
   std::memcpy(&record.m_header, bytes.data(), sizeof(RecordHeader));
   const RecordHeader& header = record.m_header;
-  if (header.m_magic != kRecordMagic || header.m_body_bytes > kMaxRecordBytes) return std::nullopt;
+  if (header.m_magic != kRecordMagic) return std::nullopt;
   if (bytes.size() - sizeof(RecordHeader) < header.m_body_bytes) return std::nullopt;
   record.m_body = bytes.substr(sizeof(RecordHeader), header.m_body_bytes);
   if (RecordCrc(bytes.substr(0, kChecksummedHeaderBytes), record.m_body) != header.m_crc) return std::nullopt;
   return record;
 }
 
+// Compresses a body if that makes it smaller; empty otherwise.
+std::string Compress(std::string_view body) {
+  if (body.size() < kCompressionThresholdBytes) return {};
+  std::string compressed(ZSTD_compressBound(body.size()), '\0');
+  const std::size_t size =
+      ZSTD_compress(compressed.data(), compressed.size(), body.data(), body.size(), kCompressionLevel);
+  if (ZSTD_isError(size) != 0 || size >= body.size()) return {};
+  compressed.resize(size);
+  return compressed;
+}
+
+// Errors: `kStorageUnreadable`.
+Result<std::string> Decompress(std::string_view compressed) {
+  const unsigned long long size = ZSTD_getFrameContentSize(compressed.data(), compressed.size());
+  // Also true for zstd's two error values, which are larger.
+  if (size > kMaxBodyBytes) return MakeError(ErrorCode::kStorageUnreadable, "size of a compressed record");
+  std::string body(size, '\0');
+  const std::size_t written = ZSTD_decompress(body.data(), body.size(), compressed.data(), compressed.size());
+  if (ZSTD_isError(written) != 0 || written != size) {
+    return MakeError(ErrorCode::kStorageUnreadable, "a compressed record does not decompress");
+  }
+  return body;
+}
+
+// Decodes the body of a record whose checksum is right. Errors: `kStorageUnreadable`.
+Result<LogEntry> DecodeBody(const Record& record) {
+  if ((record.m_header.m_flags & ~kKnownFlags) != 0) {
+    return MakeError(ErrorCode::kStorageUnreadable, "unknown flags of a record");
+  }
+  const bool is_compressed = (record.m_header.m_flags & kCompressedFlag) != 0;
+  Result<std::string> decompressed = is_compressed ? Decompress(record.m_body) : Result<std::string>(std::string());
+  if (!IsOk(decompressed)) return ErrorOf(decompressed);
+  const std::string_view body = is_compressed ? std::string_view(ValueOf(decompressed)) : record.m_body;
+  Result<LogEntry> entry = wire::Decode<LogEntry>(std::as_bytes(std::span(body)));
+  if (!IsOk(entry)) return MakeError(ErrorCode::kStorageUnreadable, ErrorOf(entry).m_detail);
+  return entry;
+}
+
 // True if the bytes contain, at any offset, an intact record of this batch or a later one.
 bool HasRecordOfBatchOrLater(std::string_view bytes, std::uint64_t batch) {
   const std::string_view magic(reinterpret_cast<const char*>(&kRecordMagic), sizeof(kRecordMagic));
@@ -68,15 +117,19 @@
 
 std::uint32_t Crc32c(std::string_view bytes) noexcept { return RecordCrc(bytes, {}); }
 
+bool FitsRecord(const LogEntry& entry) noexcept { return entry.m_payload.size() <= kMaxEntryPayloadBytes; }
+
 std::string EncodeBatch(std::span<const LogEntry> entries, std::uint64_t batch) {
   std::string out;
   for (const LogEntry& entry : entries) {
     const std::vector<std::byte> encoded = wire::Encode(entry);
-    const std::string_view body(reinterpret_cast<const char*>(encoded.data()), encoded.size());
+    const std::string_view plain(reinterpret_cast<const char*>(encoded.data()), encoded.size());
+    const std::string compressed = Compress(plain);
+    const std::string_view body = compressed.empty() ? plain : std::string_view(compressed);
     RecordHeader header;
     header.m_body_bytes = static_cast<std::uint32_t>(body.size());
     header.m_batch = batch;
-    header.m_flags = &entry == &entries.back() ? kLastInBatchFlag : 0;
+    header.m_flags = (&entry == &entries.back() ? kLastInBatchFlag : 0) | (compressed.empty() ? 0 : kCompressedFlag);
     const std::string_view header_bytes(reinterpret_cast<const char*>(&header), sizeof(header));
     header.m_crc = RecordCrc(header_bytes.substr(0, kChecksummedHeaderBytes), body);
     out.append(header_bytes).append(body);
@@ -92,9 +145,14 @@
   bool in_batch = false;
   while (offset < bytes.size()) {
     const std::optional<Record> record = ReadRecord(bytes.substr(offset));
-    Result<LogEntry> entry = record ? wire::Decode<LogEntry>(std::as_bytes(std::span(record->m_body)))
-                                    : Result<LogEntry>(MakeError(ErrorCode::kStorageCorrupt));
-    if (!IsOk(entry) || record->m_header.m_batch != content.m_last_batch + 1) break;
+    if (!record || record->m_header.m_batch != content.m_last_batch + 1) break;
+    Result<LogEntry> entry = DecodeBody(*record);
+    if (!IsOk(entry)) {
+      // The checksum is right, so the disk returned what was written, and this program cannot read it.
+      content.m_tail = SegmentTail::kUnreadable;
+      content.m_detail = ErrorOf(entry).m_detail;
+      break;
+    }
     offset += sizeof(RecordHeader) + record->m_body.size();
     content.m_entries.push_back(std::move(ValueOf(entry)));
     in_batch = (record->m_header.m_flags & kLastInBatchFlag) == 0;
@@ -104,7 +162,7 @@
     complete_entries = content.m_entries.size();
   }
   content.m_entries.resize(complete_entries);
-  if (content.m_valid_bytes == bytes.size()) return content;
+  if (content.m_valid_bytes == bytes.size() || content.m_tail == SegmentTail::kUnreadable) return content;
   // The damaged record belongs to the batch after the last complete one. A batch is written only after the previous one
   // was synced, so if a still later batch is found, the damaged one had been acknowledged.
   const bool has_later_batch = HasRecordOfBatchOrLater(bytes.substr(offset), content.m_last_batch + 2);
--- a/src/consensus/log_record.h
+++ b/src/consensus/log_record.h
@@ -23,6 +23,8 @@
   kTorn = 1,
   /// A record is damaged although a later batch follows, so it had been acknowledged.
   kCorrupt = 2,
+  /// A record is intact, but this program cannot read it: another release wrote it.
+  kUnreadable = 3,
 };
 
 /// The decoded content of a segment, up to its last complete batch.
@@ -33,11 +35,16 @@
   /// Number of the last complete batch; one less than the first batch's number if there is none.
   std::uint64_t m_last_batch = 0;
   SegmentTail m_tail = SegmentTail::kClean;
+  /// Why a record is unreadable; empty with any other tail.
+  std::string m_detail;
 };
 
+/// True if the storage takes the entry: its payload is at most `kMaxEntryPayloadBytes` long.
+[[nodiscard]] bool FitsRecord(const LogEntry& entry) noexcept;
+
 /// Encodes a batch: entries that are appended to a segment and synced together, one record each. A record has a length,
 /// a CRC-32C and the number of its batch, and the last record of a batch is flagged. `DecodeSegment` can thereby tell
-/// an incomplete batch from a damaged one.
+/// an incomplete batch from a damaged one. Bodies are compressed where that makes them smaller.
 [[nodiscard]] std::string EncodeBatch(std::span<const LogEntry> entries, std::uint64_t batch);
 
 /// Decodes a segment whose first batch has the given number. Damage is reported in `SegmentContent::m_tail`.
--- a/src/consensus/raft_follower.cc
+++ b/src/consensus/raft_follower.cc
@@ -9,13 +9,14 @@
 // A larger snapshot is refused, so that a forged total size cannot exhaust the memory.
 constexpr std::uint64_t kMaxSnapshotBytes = 256ULL << 20U;
 
-// True if the entries have consecutive indexes after the previous one, and terms that neither decrease nor exceed
-// `term`.
+// True if the entries have consecutive indexes after the previous one, terms that neither decrease nor exceed `term`,
+// and payloads that the storage takes.
 bool IsWellFormed(const AppendRequest& request, Term term) {
   LogIndex index = request.m_previous_index;
   Term last_term = request.m_previous_term;
   for (const LogEntry& entry : request.m_entries) {
     if (entry.m_index != ++index || entry.m_term < last_term || entry.m_term > term) return false;
+    if (entry.m_payload.size() > kMaxEntryPayloadBytes) return false;
     last_term = entry.m_term;
   }
   return true;
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -61,6 +61,7 @@
 
 Result<std::pair<LogIndex, Term>> RaftNode::Propose(TimePoint now, std::string payload) {
   AdvanceClock(now);
+  if (payload.size() > kMaxEntryPayloadBytes) return MakeError(ErrorCode::kTicketTooLarge);
   if (m_role != RaftRole::kLeader || m_transfer_deadline) return MakeError(ErrorCode::kTicketNotLeader);
   AppendAsLeader(EntryKind::kPayload, std::move(payload));
   return std::pair(m_log.LastIndex(), m_vote.m_term);
--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -208,7 +208,8 @@
   if (IsOk(proposed)) {
     m_pending[ValueOf(proposed)] = pending;
   } else {
-    pending->m_result = NotLeaderError();
+    const bool is_refused_for_good = ErrorOf(proposed).m_code == ErrorCode::kTicketTooLarge;
+    pending->m_result = is_refused_for_good ? ErrorOf(proposed) : NotLeaderError();
   }
 }
 
--- a/src/daemon/log_replica.h
+++ b/src/daemon/log_replica.h
@@ -60,7 +60,7 @@
 
   /// Proposes a payload and waits until a majority has accepted it and it is applied here. Returns the result of
   /// `ReplicatedStateMachine::Apply`. Errors: `kTicketNotLeader`, `kTicketNoQuorum` (not accepted, may be submitted
-  /// again), `kTicketOutcomeUnknown`.
+  /// again), `kTicketOutcomeUnknown`, `kTicketTooLarge` (never accepted).
   [[nodiscard]] Result<std::any> Submit(std::string payload);
 
   /// True if a read here returns the newest accepted state: this host is leader and holds the lease, and it has applied
--- a/tests/storage_log_test.cc
+++ b/tests/storage_log_test.cc
@@ -1,7 +1,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <cstring>
 #include <filesystem>
+#include <random>
 
 #include "consensus/log_record.h"
 #include "fighatch/file_log_storage.h"
@@ -184,6 +187,88 @@
   EXPECT_TRUE(IsOk(Reopen()));
 }
 
+// Sizes around each limit of the storage format, up to the largest payload.
+std::vector<std::size_t> PayloadSizesAtLimits() {
+  constexpr std::size_t kOldReaderLimit = 256 * 1024;
+  return {0,
+          1,
+          511,
+          512,
+          kOldReaderLimit - 1,
+          kOldReaderLimit,
+          kOldReaderLimit + 1,
+          1 << 20,
+          kMaxEntryPayloadBytes - 1,
+          kMaxEntryPayloadBytes};
+}
+
+// Guards against entries that are written and acknowledged but refused at the next start, at every size up to the
+// limit: text that compresses, and random bytes that do not.
+TEST_F(StorageLogTest, ReadsBackEveryPayloadSizeUpToLimit) {
+  std::vector<LogEntry> expected;
+  std::mt19937 random(7);
+  for (const std::size_t size : PayloadSizesAtLimits()) {
+    std::string text(size, 'r');
+    std::string noise(size, '\0');
+    std::generate(noise.begin(), noise.end(), [&random] { return static_cast<char>(random()); });
+    for (const std::string& payload : {text, noise}) {
+      expected.push_back({expected.size() + 1, 1, EntryKind::kPayload, payload});
+      const auto storage = Open();
+      ASSERT_TRUE(IsOk(storage->Append(std::vector<LogEntry>{expected.back(), Entry(expected.size() + 1, 1)}))) << size;
+    }
+  }
+  expected.push_back(Entry(expected.size() + 1, 1));
+  const auto opened = Reopen();
+  ASSERT_TRUE(IsOk(opened)) << ToString(ErrorOf(opened));
+  EXPECT_TRUE(ValueOf(opened)->TakeStored().m_entries == expected);
+}
+
+// Guards against an entry above the limit that is acknowledged, or that leaves the storage unusable.
+TEST_F(StorageLogTest, RefusesPayloadAboveLimitAndStaysUsable) {
+  const auto storage = Open();
+  const LogEntry oversized{1, 1, EntryKind::kPayload, std::string(kMaxEntryPayloadBytes + 1, 'x')};
+  const Status refused = storage->Append(std::vector<LogEntry>{oversized});
+  ASSERT_FALSE(IsOk(refused));
+  EXPECT_EQ(ErrorOf(refused).m_code, ErrorCode::kStorageEntryTooLarge);
+  EXPECT_TRUE(IsOk(storage->Append(std::vector<LogEntry>{Entry(1, 1)})));
+  EXPECT_EQ(Open()->TakeStored().m_entries, std::vector<LogEntry>{Entry(1, 1)});
+}
+
+// Guards against large documents that cost one disk write of their full size for each change.
+TEST_F(StorageLogTest, StoresRepetitiveTextCompressed) {
+  std::string text;
+  for (int route = 0; route < 3000; ++route) {
+    text += R"({"Host":"198.18.0.)" + std::to_string(route) + R"(","PathPrefix":"/8443/","Service":"desk"},)";
+  }
+  const std::string batch = EncodeBatch(std::vector<LogEntry>{{1, 1, EntryKind::kPayload, text}}, 1);
+  EXPECT_LT(batch.size() * 4, text.size());
+}
+
+// Replaces the flags of the first record, with a valid checksum.
+void SetFlagsOfFirstRecord(std::string* segment, std::uint32_t flags) {
+  constexpr std::size_t kFlagsOffset = 16;
+  constexpr std::size_t kCrcOffset = 20;
+  constexpr std::size_t kHeaderBytes = 24;
+  std::memcpy(segment->data() + kFlagsOffset, &flags, sizeof(flags));
+  std::uint32_t body_bytes = 0;
+  std::memcpy(&body_bytes, segment->data() + 4, sizeof(body_bytes));
+  const std::uint32_t crc = Crc32c(segment->substr(0, kCrcOffset) + segment->substr(kHeaderBytes, body_bytes));
+  std::memcpy(segment->data() + kCrcOffset, &crc, sizeof(crc));
+}
+
+// Guards against setting aside the intact log of another release as if the disk were damaged: all hosts would give up
+// their identities at the same restart.
+TEST_F(StorageLogTest, TellsUnreadableRecordFromDamagedOne) {
+  AppendOneByOne(1, 3);
+  std::vector<std::string> names = ValueOf(m_directory.List());
+  std::erase_if(names, [](const std::string& name) { return !name.starts_with("log-"); });
+  constexpr std::uint32_t kUnknownFlag = 0x100;
+  SetFlagsOfFirstRecord(m_directory.Content(names.front()), kUnknownFlag | 1);
+  const auto opened = Reopen();
+  ASSERT_FALSE(IsOk(opened));
+  EXPECT_EQ(ErrorOf(opened).m_code, ErrorCode::kStorageUnreadable);
+}
+
 // Guards against writes after a failed sync, when the content of the disk is unknown.
 TEST_F(StorageLogTest, FailsAllWritesAfterFailedSync) {
   const auto storage = Open();
