Give every stage that a document passes a limit above the stage before

Cause: documents had no limit of their own. The HTTP body ended at 1 MiB with a 400 on a connection that was reset while the client still sent; messages between hosts ended at 4 MiB; the log at 256 KiB.

The HTTP server answers an oversized request with 413 and reads on for a moment, so that the answer arrives; a head is limited to 64 KiB; a body is parsed once and not with every chunk of 16 KiB.

--- a/include/fighatch/http_message.h
+++ b/include/fighatch/http_message.h
@@ -74,12 +74,14 @@
   bool m_keep_alive = true;
 };
 
-/// Parses a request from the start of the bytes. The value is empty while the message is incomplete.
-/// Errors: `kRequestMalformed`, `kRequestTooLarge` if the message exceeds `limit_bytes`.
-[[nodiscard]] Result<std::optional<ParsedHttpMessage<HttpRequest>>> ParseHttpRequest(std::span<const std::byte> bytes,
-                                                                                     std::size_t limit_bytes);
-
-/// \copydoc ParseHttpRequest
+/// Parses a request from the start of the bytes. The value is empty while the message is incomplete; `missing_bytes`,
+/// if given, is then set to the least number of bytes that are missing, so that a caller need not parse before. Errors:
+/// `kRequestMalformed`, `kRequestTooLarge` if the message exceeds `limit_bytes` or its head exceeds 64 KiB.
+[[nodiscard]] Result<std::optional<ParsedHttpMessage<HttpRequest>>> ParseHttpRequest(
+    std::span<const std::byte> bytes, std::size_t limit_bytes, std::size_t* missing_bytes = nullptr);
+
+/// Parses a response from the start of the bytes. The value is empty while the message is incomplete. Errors: those of
+/// `ParseHttpRequest`.
 [[nodiscard]] Result<std::optional<ParsedHttpMessage<HttpResponse>>> ParseHttpResponse(std::span<const std::byte> bytes,
                                                                                        std::size_t limit_bytes);
 
--- a/include/fighatch/routing_log.h
+++ b/include/fighatch/routing_log.h
@@ -18,6 +18,10 @@
 
 namespace fighatch {
 
+/// Largest operator document in bytes; a document of 10,000 routes takes about 2.5 MB. Every stage that a document
+/// passes has a limit at least as high, see the table of limits in `docs/design.md`.
+inline constexpr std::size_t kMaxDocumentBytes = 4 << 20;
+
 /// Parses an operator's document. The result must depend on the text alone, since every control host parses it itself.
 class DocumentReader {
  public:
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -26,7 +26,26 @@
   return FromSocketAddress(address);
 }
 
-HttpResponse ErrorResponse(const Error& error) { return {400, {{"Connection", "close"}}, ToString(error) + "\n"}; }
+// How long and how much the server reads on after it has refused a request. A close with unread input resets the
+// connection, and the client might then miss the response.
+constexpr std::chrono::seconds kDiscardTime{2};
+constexpr std::size_t kMaxDiscardedBytes = 16 << 20;
+
+HttpResponse ErrorResponse(const Error& error) {
+  const int status = error.m_code == ErrorCode::kRequestTooLarge ? 413 : 400;
+  return {status, {{"Connection", "close"}}, ToString(error) + "\n"};
+}
+
+void DiscardInput(TcpStream* stream) {
+  shutdown(stream->Fd(), SHUT_WR);
+  const auto deadline = steady_clock::now() + kDiscardTime;
+  std::array<std::byte, 16384> chunk;
+  for (std::size_t discarded = 0; discarded < kMaxDiscardedBytes;) {
+    const Result<std::size_t> count = stream->ReadSome(chunk, deadline);
+    if (!IsOk(count) || ValueOf(count) == 0) return;
+    discarded += ValueOf(count);
+  }
+}
 
 }  // namespace
 
@@ -67,11 +86,13 @@
   std::vector<std::byte> received;
   std::array<std::byte, 16384> chunk;
   for (;;) {
+    std::size_t missing_bytes = 1;
     Result<std::optional<ParsedHttpMessage<HttpRequest>>> parsed =
-        ParseHttpRequest(received, m_options.m_max_request_bytes);
+        ParseHttpRequest(received, m_options.m_max_request_bytes, &missing_bytes);
     if (!IsOk(parsed)) {
       const std::string text = ToString(ErrorResponse(ErrorOf(parsed)));
       (void)stream.WriteAll(std::as_bytes(std::span(text)), steady_clock::now() + m_options.m_idle_timeout);
+      DiscardInput(&stream);
       return;
     }
     if (ValueOf(parsed)) {
@@ -84,12 +105,14 @@
       continue;
     }
     if (m_stopping && received.empty()) return;
-    m_reading_fds.insert(stream.Fd());
-    const Result<std::size_t> count = stream.ReadSome(chunk, steady_clock::now() + m_options.m_idle_timeout);
-    m_reading_fds.erase(stream.Fd());
-    if (!IsOk(count)) return;
-    if (ValueOf(count) == 0) return;
-    received.insert(received.end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(ValueOf(count)));
+    for (std::size_t read_bytes = 0; read_bytes < missing_bytes;) {
+      m_reading_fds.insert(stream.Fd());
+      const Result<std::size_t> count = stream.ReadSome(chunk, steady_clock::now() + m_options.m_idle_timeout);
+      m_reading_fds.erase(stream.Fd());
+      if (!IsOk(count) || ValueOf(count) == 0) return;
+      read_bytes += ValueOf(count);
+      received.insert(received.end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(ValueOf(count)));
+    }
   }
 }
 
--- a/src/io/plain_message_socket.h
+++ b/src/io/plain_message_socket.h
@@ -37,7 +37,7 @@
 class PlainMessageSocket {
  public:
   /// Largest payload before compression and after decompression.
-  static constexpr std::size_t kMaxPayloadBytes = 4 << 20;
+  static constexpr std::size_t kMaxPayloadBytes = 16 << 20;
 
   /// Binds to `local`. Errors: `kIoSocket`.
   [[nodiscard]] static Result<PlainMessageSocket> Bind(const Endpoint& local);
--- a/src/request/http_message.cc
+++ b/src/request/http_message.cc
@@ -15,6 +15,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// Largest head of a message: start line and header fields.
+constexpr std::size_t kMaxHeadBytes = 64 << 10;
+
 bool NameEquals(std::string_view left, std::string_view right) {
   return beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
 }
@@ -38,10 +41,11 @@
 }
 
 template <bool kIsRequest, typename Message>
-Result<std::optional<ParsedHttpMessage<Message>>> Parse(std::span<const std::byte> bytes, std::size_t limit_bytes) {
+Result<std::optional<ParsedHttpMessage<Message>>> Parse(std::span<const std::byte> bytes, std::size_t limit_bytes,
+                                                        std::size_t* missing_bytes) {
   http::parser<kIsRequest, http::string_body> parser;
   parser.eager(true);
-  parser.header_limit(static_cast<std::uint32_t>(limit_bytes));
+  parser.header_limit(static_cast<std::uint32_t>(std::min(limit_bytes, kMaxHeadBytes)));
   parser.body_limit(limit_bytes);
   beast::error_code error;
   std::size_t consumed = 0;
@@ -58,6 +62,10 @@
   if (consumed > limit_bytes) return MakeError(ErrorCode::kRequestTooLarge);
   if (!parser.is_done()) {
     if (bytes.size() > limit_bytes) return MakeError(ErrorCode::kRequestTooLarge);
+    if (missing_bytes != nullptr) {
+      const auto remaining = parser.is_header_done() ? parser.content_length_remaining() : boost::none;
+      *missing_bytes = std::max<std::size_t>(remaining ? *remaining : 1, 1);
+    }
     return std::optional<ParsedHttpMessage<Message>>();
   }
   const bool keep_alive = parser.get().keep_alive();
@@ -87,13 +95,14 @@
 }
 
 Result<std::optional<ParsedHttpMessage<HttpRequest>>> ParseHttpRequest(std::span<const std::byte> bytes,
-                                                                       std::size_t limit_bytes) {
-  return Parse<true, HttpRequest>(bytes, limit_bytes);
+                                                                       std::size_t limit_bytes,
+                                                                       std::size_t* missing_bytes) {
+  return Parse<true, HttpRequest>(bytes, limit_bytes, missing_bytes);
 }
 
 Result<std::optional<ParsedHttpMessage<HttpResponse>>> ParseHttpResponse(std::span<const std::byte> bytes,
                                                                          std::size_t limit_bytes) {
-  return Parse<false, HttpResponse>(bytes, limit_bytes);
+  return Parse<false, HttpResponse>(bytes, limit_bytes, nullptr);
 }
 
 std::string ToString(const HttpRequest& request) {
--- a/tests/io_test.cc
+++ b/tests/io_test.cc
@@ -1,8 +1,13 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <memory>
+#include <string>
 
+#include "io/http_client.h"
+#include "io/http_server.h"
 #include "io/reactor.h"
 #include "io/tcp_stream.h"
 #include "io/udp_socket.h"
@@ -43,6 +48,57 @@
   busy.join();
 }
 
+// An HTTP server on a fiber of its own that answers every request with the size of its body.
+class HttpServerTest : public testing::Test {
+ protected:
+  HttpServerTest() {
+    HttpServerOptions options;
+    options.m_max_request_bytes = 1 << 20;
+    Result<std::unique_ptr<HttpServer>> server = HttpServer::Create(
+        Loopback(),
+        [](const HttpRequest& request, const Endpoint& /*peer*/) {
+          return HttpResponse{200, {}, std::to_string(request.m_body.size())};
+        },
+        options);
+    m_server = std::move(ValueOf(server));
+    m_fiber = boost::fibers::fiber([this] { m_server->Serve(); });
+  }
+  ~HttpServerTest() override {
+    m_server->Stop();
+    m_fiber.join();
+  }
+  // Sends raw bytes on a new connection and returns the response; empty if the connection ends without one.
+  std::string Exchange(const std::string& bytes) {
+    Result<TcpStream> stream = TcpStream::Connect(m_server->Local(), TestDeadline());
+    if (!IsOk(stream)) return {};
+    boost::fibers::fiber writer(
+        [&] { (void)ValueOf(stream).WriteAll(std::as_bytes(std::span(bytes)), TestDeadline()); });
+    std::array<std::byte, 4096> chunk;
+    const Result<std::size_t> count = ValueOf(stream).ReadSome(chunk, TestDeadline());
+    writer.join();
+    return IsOk(count) ? std::string(reinterpret_cast<const char*>(chunk.data()), ValueOf(count)) : std::string();
+  }
+  static std::string Request(const std::string& head, std::size_t body_bytes) {
+    return "PUT /x HTTP/1.1\r\nHost: x\r\n" + head + "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'b');
+  }
+
+  Reactor m_reactor;
+  std::unique_ptr<HttpServer> m_server;
+  boost::fibers::fiber m_fiber;
+};
+
+// Guards against a client that sends an oversized body and finds its connection reset: it would send it again for ever.
+TEST_F(HttpServerTest, AnswersOversizedBodyWith413) {
+  EXPECT_THAT(Exchange(Request("", 3 << 20)), testing::HasSubstr("413"));
+  EXPECT_THAT(Exchange(Request("", 900 << 10)), testing::EndsWith(std::to_string(900 << 10)));
+}
+
+// Guards against a head of unlimited size that is parsed anew with every chunk.
+TEST_F(HttpServerTest, RefusesLargeHead) {
+  EXPECT_THAT(Exchange(Request("X: " + std::string(200 << 10, 'h') + "\r\n", 1)), testing::HasSubstr("413"));
+}
+
 // Guards against the reuse of a connection whose peer has restarted: the first message on it is lost without an error.
 TEST(TcpStreamTest, DetectsThatThePeerHasClosed) {
   Reactor reactor;
