Take no control host's partial view of targets for the truth

Cause: a control host counted as in contact while it heard the leader. Cut off in one direction it went on hearing the leader, but got neither announcements nor replies; 4.2 s later it declared all targets silent, and every balancer took its word and reset each opening packet until the cut ended. The other way round, targets that announced themselves to a host whose messages reach nobody were silent to all others.

Ruled out: a leader without a majority (it steps down within one election timeout), and lost announcements alone (they are confirmed only for a change, not for a refresh).

Change: TargetMonitor decides what a control host may say about targets. Both a verdict of silence and the confirmation of an announcement need messages in both directions with a majority of the voters within 1.3 s, shown by confirmed sequence numbers; a refresh counts only once a majority holds it. After a time without contact all targets count as heard. A draining target keeps its state in silence. A balancer keeps using a silent target that accepts its flows, and the targets of a service that all fell silent together.

A control host whose data folder is damaged keeps its files and its identity, and sets them aside only when another control host reports a majority: a group that needs all its hosts loses none of them. The opened services come after that.

--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -149,8 +149,11 @@
   [[nodiscard]] double EstimateUnreportedFlows(TimePoint now, const std::string& service, std::size_t candidates);
   // This balancer's share of `amount`, summed over all targets that may take new flows.
   [[nodiscard]] double OwnShare(TimePoint now, double (*amount)(const SteeringTarget& target)) const;
-  // True if neither the target's state nor its data centre rules out new flows.
-  [[nodiscard]] bool IsOpenForNewFlows(const SteeringTarget& target) const;
+  // True if neither the target's state nor its data centre rules out new flows. A target that control hosts report as
+  // silent stays open while it accepts flows: what this balancer sees counts more than missing announcements.
+  [[nodiscard]] bool IsOpenForNewFlows(TimePoint now, const SteeringTarget& target) const;
+  // The silent targets of a service that may still answer, to be tried when no target is open for new flows.
+  [[nodiscard]] std::vector<SteeringTarget*> SilentCandidates(TimePoint now, const std::string& service) const;
   // False while new flows avoid the target or its data centre because opening packets stayed unanswered.
   [[nodiscard]] bool SeemsReachable(TimePoint now, const SteeringTarget& target) const;
   // True if the target is warm or has no rate limit, or if this balancer's share of the limit allows another flow now.
--- a/include/fighatch/sync_server.h
+++ b/include/fighatch/sync_server.h
@@ -2,6 +2,7 @@
 #define FIGHATCH_SYNC_SERVER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <utility>
@@ -21,6 +22,9 @@
   /// A follower without a request for this long is removed.
   static constexpr Duration kFollowerTimeout = std::chrono::milliseconds(2500);
 
+  /// See `CountInContact`. Several times the interval at which control hosts poll each other.
+  static constexpr Duration kContactTimeout = std::chrono::milliseconds(1300);
+
   /// The directory and the log must outlive the server. `incarnation` differs from that of every earlier process.
   SyncServer(HostId self, std::uint64_t incarnation, const TargetDirectory* directory, const RoutingLog* log);
 
@@ -32,6 +36,14 @@
   /// Sets the control hosts that followers are told of.
   void SetControlHosts(std::set<HostId> hosts);
 
+  /// Notes that all messages from now on carry at least the directory's present sequence. Call it after
+  /// `TargetDirectory::AdvanceSequence`, once an interval.
+  void RecordSequence(TimePoint now);
+
+  /// How many of these control hosts exchange messages with this one in both directions: each has sent a request within
+  /// `kContactTimeout`, which confirms a message that this host sent no earlier than `kContactTimeout` before.
+  [[nodiscard]] std::size_t CountInContact(TimePoint now, const std::set<HostId>& hosts) const;
+
   /// How many of these control hosts have confirmed that they hold the directory change `sequence`.
   [[nodiscard]] std::size_t CountConfirmedBy(std::uint64_t sequence, const std::set<HostId>& hosts) const;
 
@@ -61,6 +73,9 @@
   std::set<HostId> m_control_hosts;
   std::map<HostId, Follower> m_followers;
   std::uint64_t m_hosts_digest = 0;
+  // Times of `RecordSequence` and the sequence at each, oldest first; the first one lies at least `kContactTimeout`
+  // back.
+  std::deque<std::pair<TimePoint, std::uint64_t>> m_recorded_sequences;
 };
 
 }  // namespace fighatch
--- a/include/fighatch/target_directory.h
+++ b/include/fighatch/target_directory.h
@@ -58,14 +58,18 @@
   /// latest start. Unknown ids are ignored.
   AnnounceOutcome Withdraw(TimePoint now, TargetId id, std::optional<std::uint64_t> start_unix_ms);
 
-  /// Marks targets without recent announcements as silent, and removes old records. Call it only while this host is in
-  /// contact with the other control hosts: otherwise it may have missed announcements that they received. Returns the
-  /// targets that became silent.
+  /// Marks ready targets without recent announcements as silent, and removes old records. A draining target keeps its
+  /// state, since its drain must not be forgotten. Call it only while this host is in contact with the other control
+  /// hosts: otherwise it may have missed announcements that they received. Returns the targets that became silent.
   std::vector<AnnouncedTarget> Expire(TimePoint now);
 
   /// Treats every target as heard now, after a time without contact to the other control hosts.
   void ResetSilenceTimers(TimePoint now);
 
+  /// Uses up a number without a change. A follower that confirms a later number has thereby received a message that was
+  /// sent after this call.
+  void AdvanceSequence() noexcept { ++m_sequence; }
+
   /// The number of the newest change.
   [[nodiscard]] std::uint64_t Sequence() const noexcept { return m_sequence; }
 
@@ -76,8 +80,8 @@
   [[nodiscard]] std::vector<TargetObservation> ChangedSince(TimePoint now, std::uint64_t sequence,
                                                             bool with_refreshes) const;
 
-  /// The number of the last change of a target that balancers must know of; 0 for an unknown id.
-  [[nodiscard]] std::uint64_t ChangeOf(TargetId id) const;
+  /// The number of a target's last change or announcement; 0 for an unknown id.
+  [[nodiscard]] std::uint64_t SequenceOf(TargetId id) const;
 
   [[nodiscard]] std::size_t Size() const noexcept { return m_entries.size(); }
   /// The record of an id; null if it is unknown.
--- a/include/fighatch/target_table.h
+++ b/include/fighatch/target_table.h
@@ -27,6 +27,8 @@
   std::uint32_t m_remote_flows = 0;
   /// Moving average in milliseconds of the processing time of one request, without queueing; 0 before the first sample.
   double m_processing_ms = 0;
+  /// When the target last accepted a flow of this balancer.
+  TimePoint m_last_accepted;
   /// Number of consecutive opening packets that the target did not answer.
   std::uint32_t m_unanswered = 0;
   /// The target gets no new flows before this time, because opening packets stayed unanswered.
@@ -44,10 +46,15 @@
   /// A record that is gone or silent is removed after this long, which exceeds the lifetime of any flow to the target.
   static constexpr Duration kForgetAfter = std::chrono::seconds(90);
 
+  /// The same for a draining record. Control hosts do not report that such a target falls silent, so this exceeds any
+  /// drain.
+  static constexpr Duration kForgetDrainingAfter = std::chrono::minutes(15);
+
   /// Merges a record; true if it was newer than the known one.
   bool Merge(TimePoint now, const AnnouncedTarget& record);
 
-  /// Removes records that have been gone or silent for longer than `kForgetAfter`.
+  /// Removes records that have been gone or silent for longer than `kForgetAfter`, or draining for longer than
+  /// `kForgetDrainingAfter`.
   void RemoveExpired(TimePoint now);
 
   /// The target with this cookie; if several share it, the one that started last. Null if there is none.
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -29,7 +29,11 @@
 constexpr int kMissedAnnouncements = 3;
 constexpr milliseconds kAnnouncementSlack{600};
 constexpr std::size_t kMaxControlHosts = 35;
-constexpr std::size_t kMaxHttpRequestBytes = 1 << 20;
+// Room for the head of a request and for documents slightly above the limit, which get an error that names it.
+constexpr std::size_t kMaxHttpRequestBytes = kMaxDocumentBytes + (64 << 10);
+static_assert(kMaxDocumentBytes + 1024 <= kMaxEntryPayloadBytes, "a document must fit into a log entry");
+static_assert(kMaxEntryPayloadBytes + 1024 <= io::PlainMessageSocket::kMaxPayloadBytes,
+              "a log entry must fit into a message");
 // Entries between snapshots. It bounds the number of documents that a host replays when it starts.
 constexpr std::uint64_t kSnapshotEntries = 32;
 
@@ -101,6 +105,7 @@
       m_target_directory(MakeDirectoryOptions(m_settings)),
       m_sync_server(m_settings.m_discovery.Self(), RandomBits(), &m_target_directory, &m_state_machine.Log()),
       m_sync_client(MakeSyncOptions(m_settings)),
+      m_target_monitor(m_settings.m_discovery.Self(), &m_target_directory, &m_sync_server),
       m_seed_reload(std::move(settings_path), config::ParseSteeringControlSettings, &m_settings.m_discovery,
                     &m_sync_client),
       m_file_store(m_settings.m_data_folder),
@@ -109,30 +114,44 @@
       m_log_line_budget(m_settings.m_discovery.m_log_lines_per_second) {}
 
 Status SteeringControl::Open(io::HttpHandler handler) {
-  Status storage = OpenStorage();
-  if (!IsOk(storage)) return storage;
-  LoadTargets();
-  Status log = OpenLog();
-  if (!IsOk(log)) return log;
-  return OpenServers(std::move(handler));
-}
-
-Status SteeringControl::OpenLog() {
+  m_http_handler = std::move(handler);
   const config::DiscoverySettings& discovery = m_settings.m_discovery;
   Result<io::PlainMessageSocket> messages =
       io::PlainMessageSocket::Bind({discovery.m_address, discovery.m_control_message_port});
   if (!IsOk(messages)) return ErrorOf(messages);
   m_message_socket.emplace(std::move(ValueOf(messages)));
+  Status storage = OpenStorage();
+  m_has_damaged_storage = !IsOk(storage) && ErrorOf(storage).m_code == ErrorCode::kStorageCorrupt;
+  if (m_has_damaged_storage) return OkStatus();
+  return IsOk(storage) ? OpenServices() : storage;
+}
+
+Status SteeringControl::OpenServices() {
+  LoadTargets();
   MessageTransport* transport = this;
   m_log_replica =
       std::make_unique<LogReplica>(MakeLogOptions(m_settings), m_storage.get(), LoadLog(), &m_state_machine, transport);
-  return OkStatus();
+  return OpenServers();
+}
+
+bool SteeringControl::AwaitMajority(StopSignal* stop) {
+  while (!m_sync_client.IsCurrent(LogReplica::Now())) {
+    if (stop->Wait(steady_clock::now())) return false;
+    for (const auto& [host, request] : m_sync_client.Tick(LogReplica::Now(), 0)) {
+      SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
+             EncodeSyncRequest(request));
+    }
+    for (const io::PlainMessage& message : m_message_socket->Receive(steady_clock::now() + kFastPollInterval)) {
+      HandleMessage(LogReplica::Now(), message);
+    }
+  }
+  return true;
 }
 
-Status SteeringControl::OpenServers(io::HttpHandler handler) {
+Status SteeringControl::OpenServers() {
   io::HttpServerOptions options;
   options.m_max_request_bytes = kMaxHttpRequestBytes;
-  auto http = io::HttpServer::Create(m_settings.m_http_endpoint, std::move(handler), options);
+  auto http = io::HttpServer::Create(m_settings.m_http_endpoint, m_http_handler, options);
   if (!IsOk(http)) return ErrorOf(http);
   m_http_server = std::move(ValueOf(http));
   AddMetrics();
@@ -142,7 +161,12 @@
   return OkStatus();
 }
 
-void SteeringControl::Run(StopSignal* stop) {
+Status SteeringControl::Run(StopSignal* stop) {
+  if (m_has_damaged_storage) {
+    if (!AwaitMajority(stop)) return OkStatus();
+    Status replaced = ReplaceDamagedStorage();
+    if (!IsOk(replaced)) return replaced;
+  }
   const config::DiscoverySettings& discovery = m_settings.m_discovery;
   LOG(INFO) << "event=started address=" << ToString(discovery.m_address) << " data_centre=" << discovery.m_data_centre
             << " disk=" << m_log_replica->Node().Self().m_disk.m_value
@@ -167,6 +191,7 @@
   for (boost::fibers::fiber& fiber : fibers) fiber.join();
   m_log_replica->Stop();
   LOG(INFO) << "event=stopped orders=" << m_counters.m_commands << " announcements=" << m_counters.m_announcements;
+  return OkStatus();
 }
 
 void SteeringControl::Send(HostId to, std::vector<std::byte> message) {
@@ -192,6 +217,11 @@
 }
 
 Status SteeringControl::SubmitDocument(const std::string& text) {
+  if (text.size() > kMaxDocumentBytes) {
+    LOG(INFO) << "event=document_refused bytes=" << text.size() << " limit=" << kMaxDocumentBytes;
+    return MakeError(ErrorCode::kTicketTooLarge,
+                     std::to_string(text.size()) + " bytes; the limit is " + std::to_string(kMaxDocumentBytes));
+  }
   const Result<RoutingState> routing = m_reader->Read(text);
   if (!IsOk(routing)) {
     LOG(INFO) << "event=document_refused " << ToString(ErrorOf(routing));
@@ -253,21 +283,13 @@
   return status;
 }
 
-bool SteeringControl::IsConfirmed(std::uint64_t sequence) const {
-  std::set<HostId> voters;
-  for (const RaftMember& member : m_log_replica->Node().Configuration().m_members) {
-    if (member.m_voter) voters.insert(member.m_peer.m_host);
-  }
-  if (voters.empty() || !m_log_replica->HasQuorum()) return false;
-  const std::size_t self = voters.erase(m_settings.m_discovery.Self());
-  return m_sync_server.CountConfirmedBy(sequence, voters) + self > (voters.size() + self) / 2;
-}
-
 Status SteeringControl::AwaitConfirmation(TargetId id) {
-  const std::uint64_t sequence = m_target_directory.ChangeOf(id);
+  // Mere refreshes must reach a majority, too: the others would declare the target silent otherwise.
+  const std::uint64_t sequence = m_target_directory.SequenceOf(id);
   const auto deadline = steady_clock::now() + kConfirmationTimeout;
   std::unique_lock<boost::fibers::mutex> lock(m_mutex);
-  const bool confirmed = m_confirmed.wait_until(lock, deadline, [&] { return IsConfirmed(sequence); });
+  const bool confirmed =
+      m_confirmed.wait_until(lock, deadline, [&] { return m_target_monitor.IsConfirmed(LogReplica::Now(), sequence); });
   m_confirmation_latency.Add(steady_clock::now() - (deadline - kConfirmationTimeout));
   return confirmed ? OkStatus()
                    : Status(MakeError(ErrorCode::kTicketNoQuorum,
@@ -297,7 +319,7 @@
 }
 
 void SteeringControl::HandleRequest(TimePoint now, const SyncRequest& request) {
-  const SyncReply reply = m_sync_server.Answer(now, request, m_log_replica->HasQuorum());
+  const SyncReply reply = m_sync_server.Answer(now, request, m_target_monitor.HasMajority(now));
   const bool is_control = request.m_role == SyncRole::kControl;
   const std::uint16_t port =
       is_control ? m_settings.m_discovery.m_control_message_port : m_settings.m_discovery.m_balancer_message_port;
@@ -324,7 +346,7 @@
 
 void SteeringControl::PushChanges() {
   const TimePoint now = LogReplica::Now();
-  for (const auto& [host, reply] : m_sync_server.Push(now, m_log_replica->HasQuorum())) {
+  for (const auto& [host, reply] : m_sync_server.Push(now, m_target_monitor.HasMajority(now))) {
     const bool is_control = m_sync_client.Contacts().contains(host);
     SendTo(host,
            is_control ? m_settings.m_discovery.m_control_message_port : m_settings.m_discovery.m_balancer_message_port,
@@ -336,14 +358,14 @@
   while (!m_done) {
     const TimePoint now = LogReplica::Now();
     UpdateControlHosts();
-    ExpireTargets(now);
+    UpdateTargets(now);
     for (const auto& [host, request] : m_sync_client.Tick(now, 0)) {
       SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
              EncodeSyncRequest(request));
     }
-    const bool has_quorum = m_log_replica->HasQuorum();
-    m_seed_reload.ReloadIfDue(has_quorum);
-    boost::this_fiber::sleep_for(has_quorum ? kRegularPollInterval : kFastPollInterval);
+    const bool has_majority = m_target_monitor.HasMajority(now);
+    m_seed_reload.ReloadIfDue(has_majority);
+    boost::this_fiber::sleep_for(has_majority ? kRegularPollInterval : kFastPollInterval);
   }
 }
 
@@ -356,21 +378,24 @@
   m_sync_server.SetControlHosts(members.empty() ? contacts : members);
 }
 
-void SteeringControl::ExpireTargets(TimePoint now) {
-  const bool has_quorum = m_log_replica->HasQuorum();
-  if (has_quorum != m_had_quorum) {
-    LOG(INFO) << (has_quorum ? "event=majority_regained" : "event=majority_lost")
-              << " term=" << m_log_replica->Node().CurrentTerm() << " targets=" << m_target_directory.Size();
-    // Announcements that the other control hosts received meanwhile arrive with their next replies.
-    if (has_quorum) m_target_directory.ResetSilenceTimers(now);
-    m_had_quorum = has_quorum;
+void SteeringControl::UpdateTargets(TimePoint now) {
+  std::set<HostId> voters;
+  for (const RaftMember& member : m_log_replica->Node().Configuration().m_members) {
+    if (member.m_voter) voters.insert(member.m_peer.m_host);
   }
-  if (!has_quorum) return;
-  for (const AnnouncedTarget& record : m_target_directory.Expire(now)) {
+  const std::vector<AnnouncedTarget> silent = m_target_monitor.Tick(now, std::move(voters), m_log_replica->HasQuorum());
+  for (const AnnouncedTarget& record : silent) {
     LOG(WARNING) << "event=target_silent target=" << std::hex << record.m_id.m_value << std::dec
                  << " service=" << record.m_service << " endpoint=" << ToString(record.m_endpoint);
   }
-  PushChanges();
+  const bool has_majority = m_target_monitor.HasMajority(now);
+  if (has_majority != m_had_majority) {
+    LOG(INFO) << (has_majority ? "event=majority_regained" : "event=majority_lost")
+              << " term=" << m_log_replica->Node().CurrentTerm() << " log_has_quorum=" << m_log_replica->HasQuorum()
+              << " targets=" << m_target_directory.Size();
+    m_had_majority = has_majority;
+  }
+  if (has_majority) PushChanges();
 }
 
 }  // namespace fighatch::daemon
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -23,6 +23,7 @@
 #include "fighatch/sync_server.h"
 #include "fighatch/target_cache.h"
 #include "fighatch/target_directory.h"
+#include "fighatch/target_monitor.h"
 #include "io/http_server.h"
 #include "io/plain_message_socket.h"
 #include "io/posix_directory.h"
@@ -66,12 +67,14 @@
   /// `reader` must outlive the host.
   SteeringControl(config::SteeringControlSettings settings, std::string settings_path, const DocumentReader* reader);
 
-  /// Opens the data folder and the sockets; `handler` answers the HTTP requests. Errors: those of `FileLogStorage`,
-  /// `kIoSocket`.
+  /// Opens the data folder and the sockets; `handler` answers the HTTP requests. A damaged data folder is no error
+  /// here, see `Run`. Errors: those of `FileLogStorage`, `kIoSocket`.
   [[nodiscard]] Status Open(io::HttpHandler handler);
 
-  /// Serves until a signal requests a stop; then transfers leadership and returns.
-  void Run(StopSignal* stop);
+  /// Serves until a signal requests a stop; then transfers leadership and returns. With a damaged data folder it first
+  /// waits until another control host is in contact with a majority: only a group that can do without this host may
+  /// replace its identity. Errors: those of `Open`, from opening the replaced folder.
+  [[nodiscard]] Status Run(StopSignal* stop);
 
   [[nodiscard]] Status SubmitDocument(const std::string& text) override;
   [[nodiscard]] Result<std::string> ReadDocument() override;
@@ -87,12 +90,16 @@
   void Stop() override {}
 
   [[nodiscard]] Status OpenStorage();
+  [[nodiscard]] Result<std::unique_ptr<FileLogStorage>> OpenOrFormat();
   [[nodiscard]] DiskIdentity NewIdentity() const;
-  [[nodiscard]] Status OpenLog();
-  [[nodiscard]] Status OpenServers(io::HttpHandler handler);
+  [[nodiscard]] Status OpenServices();
+  [[nodiscard]] Status OpenServers();
+  // Exchanges targets with the other control hosts until one of them has a majority; false if a stop was requested.
+  [[nodiscard]] bool AwaitMajority(StopSignal* stop);
+  // Sets the files of the damaged folder aside and rejoins the group under a new identity.
+  [[nodiscard]] Status ReplaceDamagedStorage();
   [[nodiscard]] Status SubmitCommand(const RoutingCommand& command);
   [[nodiscard]] Status AwaitConfirmation(TargetId id);
-  [[nodiscard]] bool IsConfirmed(std::uint64_t sequence) const;
   void ServeMessages();
   void HandleMessage(TimePoint now, const io::PlainMessage& message);
   void HandleRequest(TimePoint now, const SyncRequest& request);
@@ -100,7 +107,7 @@
   void PollOtherControlHosts();
   void PushChanges();
   void UpdateControlHosts();
-  void ExpireTargets(TimePoint now);
+  void UpdateTargets(TimePoint now);
   [[nodiscard]] StoredLog LoadLog();
   void LoadTargets();
   // Loop that saves the targets and the commit mark while the host runs, so that both are known after a restart.
@@ -115,6 +122,7 @@
   TargetDirectory m_target_directory;
   SyncServer m_sync_server;
   SyncClient m_sync_client;
+  TargetMonitor m_target_monitor;
   SeedReload<config::SteeringControlSettings> m_seed_reload;
   io::SyncedFileStore m_file_store;
   TargetCache m_target_cache;
@@ -124,8 +132,10 @@
   std::uint64_t m_saved_change = 0;
   std::unique_ptr<io::PosixDirectory> m_data_directory;
   std::unique_ptr<FileLogStorage> m_storage;
+  bool m_has_damaged_storage = false;
   std::optional<io::PlainMessageSocket> m_message_socket;
   std::unique_ptr<LogReplica> m_log_replica;
+  io::HttpHandler m_http_handler;
   std::unique_ptr<io::HttpServer> m_http_server;
   std::unique_ptr<io::HttpServer> m_metrics_server;
   observe::Metrics m_metrics;
@@ -136,7 +146,7 @@
   Receiver m_raft_receiver;
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_confirmed;
-  bool m_had_quorum = false;
+  bool m_had_majority = false;
   bool m_done = false;
 };
 
--- a/src/daemon/steering_control_storage.cc
+++ b/src/daemon/steering_control_storage.cc
@@ -36,36 +36,45 @@
 }
 
 Status SteeringControl::OpenStorage() {
-  Result<std::unique_ptr<io::PosixDirectory>> data_directory = io::PosixDirectory::Open(m_settings.m_data_folder);
-  if (!IsOk(data_directory)) return ErrorOf(data_directory);
-  m_data_directory = std::move(ValueOf(data_directory));
-  const auto open_or_format = [this]() -> Result<std::unique_ptr<FileLogStorage>> {
-    const Result<bool> formatted = FileLogStorage::IsFormatted(m_data_directory.get());
-    if (!IsOk(formatted)) return ErrorOf(formatted);
-    if (!ValueOf(formatted)) {
-      const DiskIdentity identity = NewIdentity();
-      LOG(INFO) << "event=new_disk disk=" << identity.m_self.m_disk.m_value
-                << " founding_members=" << identity.m_founding_configuration.m_members.size();
-      const Status status = FileLogStorage::Format(m_data_directory.get(), identity);
-      if (!IsOk(status)) return ErrorOf(status);
-    }
-    return FileLogStorage::Open(m_data_directory.get(), m_settings.m_discovery.Self());
-  };
-  Result<std::unique_ptr<FileLogStorage>> storage = open_or_format();
-  if (!IsOk(storage) && ErrorOf(storage).m_code == ErrorCode::kStorageCorrupt) {
-    LOG(ERROR) << "event=storage_refused " << ToString(ErrorOf(storage)) << " next=\"files are set aside\"";
-    // A host that has lost its storage rejoins under a new identity and does not found the group again.
-    m_settings.m_found_group = false;
-    Status set_aside = FileLogStorage::SetAside(m_data_directory.get());
-    if (!IsOk(set_aside)) return set_aside;
-    storage = open_or_format();
+  if (!m_data_directory) {
+    Result<std::unique_ptr<io::PosixDirectory>> data_directory = io::PosixDirectory::Open(m_settings.m_data_folder);
+    if (!IsOk(data_directory)) return ErrorOf(data_directory);
+    m_data_directory = std::move(ValueOf(data_directory));
+  }
+  Result<std::unique_ptr<FileLogStorage>> storage = OpenOrFormat();
+  if (!IsOk(storage)) {
+    LOG(ERROR) << "event=storage_refused " << ToString(ErrorOf(storage))
+               << " next=\"the files are kept; this host takes no part in votes\"";
+    return ErrorOf(storage);
   }
-  if (!IsOk(storage)) return ErrorOf(storage);
   m_storage = std::move(ValueOf(storage));
   if (m_storage->TornBytes() > 0) LOG(WARNING) << "event=torn_tail_cut bytes=" << m_storage->TornBytes();
   return OkStatus();
 }
 
+Result<std::unique_ptr<FileLogStorage>> SteeringControl::OpenOrFormat() {
+  const Result<bool> formatted = FileLogStorage::IsFormatted(m_data_directory.get());
+  if (!IsOk(formatted)) return ErrorOf(formatted);
+  if (!ValueOf(formatted)) {
+    const DiskIdentity identity = NewIdentity();
+    LOG(INFO) << "event=new_disk disk=" << identity.m_self.m_disk.m_value
+              << " founding_members=" << identity.m_founding_configuration.m_members.size();
+    const Status status = FileLogStorage::Format(m_data_directory.get(), identity);
+    if (!IsOk(status)) return ErrorOf(status);
+  }
+  return FileLogStorage::Open(m_data_directory.get(), m_settings.m_discovery.Self());
+}
+
+Status SteeringControl::ReplaceDamagedStorage() {
+  // The group goes on, so it must not be founded again.
+  m_settings.m_found_group = false;
+  Status set_aside = FileLogStorage::SetAside(m_data_directory.get());
+  if (!IsOk(set_aside)) return set_aside;
+  LOG(WARNING) << "event=storage_set_aside next=\"rejoins the group as a new member\"";
+  Status storage = OpenStorage();
+  return IsOk(storage) ? OpenServices() : storage;
+}
+
 StoredLog SteeringControl::LoadLog() {
   StoredLog stored = m_storage->TakeStored();
   const Result<LogIndex> stored_index = m_commit_mark.Load(stored.m_identity.m_self.m_disk);
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds kMaxAvoidPeriod{4000};
 // Weight of a new sample in the exponential moving averages of processing times.
 constexpr double kProcessingSampleWeight = 0.15;
+// A target that control hosts report as silent gets new flows for this long after it last accepted one.
+constexpr milliseconds kAcceptedProofAge{1000};
 // A target may still be sending its last packets for this long after it has deregistered.
 constexpr milliseconds kEndGracePeriod{300};
 // Consecutive unanswered opening packets, over all targets of a data centre, after which it counts as unreachable.
@@ -115,6 +117,7 @@
     flow->m_established = true;
     if (target->m_opening_flows > 0) --target->m_opening_flows;
     RecordAnswered(target);
+    target->m_last_accepted = now;
     decision->m_opened_after = now - flow->m_placed;
   }
   flow->m_last_packet = now;
@@ -202,8 +205,10 @@
                                                         const SteeringTarget* unresponsive) {
   std::vector<SteeringTarget*> allowed;
   for (SteeringTarget* target : m_targets.OfService(service)) {
-    if (IsOpenForNewFlows(*target) && IsWithinColdRate(now, *target)) allowed.push_back(target);
+    if (IsOpenForNewFlows(now, *target) && IsWithinColdRate(now, *target)) allowed.push_back(target);
   }
+  // If all targets of a service fell silent, the likeliest cause lies on the way of their announcements.
+  if (allowed.empty()) allowed = SilentCandidates(now, service);
   std::vector<SteeringTarget*> preferred;
   for (SteeringTarget* target : allowed) {
     if (target != unresponsive && SeemsReachable(now, *target)) preferred.push_back(target);
@@ -227,15 +232,28 @@
   return others * std::max(0.0, own - 2 * std::sqrt(own)) / static_cast<double>(candidates);
 }
 
-bool CookieSteering::IsOpenForNewFlows(const SteeringTarget& target) const {
-  return target.m_record.m_state == RecordState::kReady && !target.m_superseded &&
+bool CookieSteering::IsOpenForNewFlows(TimePoint now, const SteeringTarget& target) const {
+  const RecordState state = target.m_record.m_state;
+  const bool accepts_flows = state == RecordState::kSilent && now - target.m_last_accepted < kAcceptedProofAge;
+  return (state == RecordState::kReady || accepts_flows) && !target.m_superseded &&
          !m_state.m_data_centres_out.contains(target.m_record.m_data_centre);
 }
 
+std::vector<SteeringTarget*> CookieSteering::SilentCandidates(TimePoint now, const std::string& service) const {
+  std::vector<SteeringTarget*> candidates;
+  for (SteeringTarget* target : m_targets.OfService(service)) {
+    const bool may_answer = target->m_record.m_state == RecordState::kSilent && !target->m_superseded &&
+                            !m_state.m_data_centres_out.contains(target->m_record.m_data_centre) &&
+                            SeemsReachable(now, *target) && IsWithinColdRate(now, *target);
+    if (may_answer) candidates.push_back(target);
+  }
+  return candidates;
+}
+
 double CookieSteering::OwnShare(TimePoint now, double (*amount)(const SteeringTarget& target)) const {
   double sum = 0;
   for (const auto& [id, target] : m_targets.All()) {
-    if (IsOpenForNewFlows(target) && SeemsReachable(now, target)) sum += amount(target);
+    if (IsOpenForNewFlows(now, target) && SeemsReachable(now, target)) sum += amount(target);
   }
   return sum / static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1));
 }
--- a/src/steering/sync_server.cc
+++ b/src/steering/sync_server.cc
@@ -70,6 +70,25 @@
   UpdateHostsDigest();
 }
 
+void SyncServer::RecordSequence(TimePoint now) {
+  m_recorded_sequences.emplace_back(now, m_directory->Sequence());
+  while (m_recorded_sequences.size() > 1 && now - m_recorded_sequences[1].first >= kContactTimeout) {
+    m_recorded_sequences.pop_front();
+  }
+}
+
+std::size_t SyncServer::CountInContact(TimePoint now, const std::set<HostId>& hosts) const {
+  std::uint64_t recent_sequence = 0;
+  for (const auto& [recorded, sequence] : m_recorded_sequences) {
+    if (now - recorded >= kContactTimeout) recent_sequence = sequence;
+  }
+  return static_cast<std::size_t>(std::count_if(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
+    const Follower& follower = entry.second;
+    return hosts.contains(entry.first) && follower.m_role == SyncRole::kControl &&
+           now - follower.m_last_request < kContactTimeout && follower.m_confirmed >= recent_sequence;
+  }));
+}
+
 std::size_t SyncServer::CountConfirmedBy(std::uint64_t sequence, const std::set<HostId>& hosts) const {
   return static_cast<std::size_t>(std::count_if(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
     return hosts.contains(entry.first) && entry.second.m_role == SyncRole::kControl &&
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -84,13 +84,15 @@
   std::vector<AnnouncedTarget> silent;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     AnnouncedTarget& record = entry->second.m_record;
-    const bool is_present = record.m_state == RecordState::kReady || record.m_state == RecordState::kDraining;
-    if (is_present && now - entry->second.m_last_heard > m_options.m_silent_after) {
+    const Duration unheard_for = now - entry->second.m_last_heard;
+    if (record.m_state == RecordState::kReady && unheard_for > m_options.m_silent_after) {
       record.m_state = RecordState::kSilent;
       MarkChanged(now, &entry->second);
       silent.push_back(record);
     }
-    if (!is_present && now - entry->second.m_changed_at > m_options.m_forget_after) {
+    const bool is_drained = record.m_state == RecordState::kDraining && unheard_for > m_options.m_forget_after;
+    const bool has_ended = record.m_state == RecordState::kSilent || record.m_state == RecordState::kGone;
+    if (is_drained || (has_ended && now - entry->second.m_changed_at > m_options.m_forget_after)) {
       const auto owner = m_owners.find(record.m_endpoint);
       if (owner != m_owners.end() && owner->second == record.m_id) m_owners.erase(owner);
       entry = m_entries.erase(entry);
@@ -115,9 +117,9 @@
   return changed;
 }
 
-std::uint64_t TargetDirectory::ChangeOf(TargetId id) const {
+std::uint64_t TargetDirectory::SequenceOf(TargetId id) const {
   const auto found = m_entries.find(id);
-  return found == m_entries.end() ? 0 : found->second.m_changed;
+  return found == m_entries.end() ? 0 : found->second.m_refreshed;
 }
 
 const AnnouncedTarget* TargetDirectory::Find(TargetId id) const {
--- a/src/steering/target_table.cc
+++ b/src/steering/target_table.cc
@@ -28,9 +28,9 @@
 void TargetTable::RemoveExpired(TimePoint now) {
   const auto erased = std::erase_if(m_targets, [now](const auto& entry) {
     const SteeringTarget& target = entry.second;
-    const bool can_expire =
-        target.m_record.m_state == RecordState::kGone || target.m_record.m_state == RecordState::kSilent;
-    return can_expire && now - target.m_state_since > kForgetAfter;
+    if (target.m_record.m_state == RecordState::kReady) return false;
+    const bool is_draining = target.m_record.m_state == RecordState::kDraining;
+    return now - target.m_state_since > (is_draining ? kForgetDrainingAfter : kForgetAfter);
   });
   if (erased > 0) Reindex();
 }
--- a/tests/steering_cookie_test.cc
+++ b/tests/steering_cookie_test.cc
@@ -31,6 +31,68 @@
   EXPECT_EQ(followed.m_endpoint, placed.m_endpoint);
 }
 
+// Opens a flow whose target answers at once, and ends it.
+SteeringDecision OpenAndClose(Balancer* balancer, std::uint32_t client) {
+  const SteeringDecision decision = balancer->Open(client);
+  (void)balancer->Steer(LaterPacket(client, decision.m_cookie, true));
+  return decision;
+}
+
+AnnouncedTarget Silent(std::uint32_t number) { return MakeTarget(number, "a", RecordState::kSilent); }
+
+// Guards against refused flows while all targets of a service are reported silent together: the likeliest cause is that
+// their announcements do not arrive.
+TEST(CookieSteeringTest, ServiceWhoseTargetsAllFellSilentIsStillServed) {
+  Balancer balancer;
+  balancer.ApplyState(MakeState());
+  for (std::uint32_t number = 1; number <= 3; ++number) balancer.AddTarget(MakeTarget(number));
+  balancer.Advance(milliseconds(5000));
+  for (std::uint32_t number = 1; number <= 3; ++number) balancer.AddTarget(Silent(number));
+  for (std::uint32_t client = 1; client <= 20; ++client) {
+    EXPECT_EQ(OpenAndClose(&balancer, client).m_action, SteeringAction::kForward);
+    balancer.Advance(milliseconds(100));
+  }
+}
+
+// Guards against a verdict of silence that counts more than flows which the target has just accepted, and against a
+// target that stays in use although it is silent and accepts nothing.
+TEST(CookieSteeringTest, SilentTargetIsUsedWhileItAcceptsFlows) {
+  Balancer balancer;
+  balancer.ApplyState(MakeState());
+  balancer.AddTarget(MakeTarget(1));
+  balancer.AddTarget(MakeTarget(2));
+  std::uint32_t client = 0;
+  const auto targets_of_next_flows = [&](milliseconds interval) {
+    std::set<TargetId> used;
+    // Two flows at a time, so that the second one finds the other target less loaded.
+    for (int pair = 0; pair < 6; ++pair) {
+      const SteeringDecision first = balancer.Open(++client);
+      used.insert(first.m_target);
+      used.insert(OpenAndClose(&balancer, ++client).m_target);
+      (void)balancer.Steer(LaterPacket(client - 1, first.m_cookie, true));
+      balancer.Advance(interval);
+    }
+    return used;
+  };
+  EXPECT_EQ(targets_of_next_flows(milliseconds(20)).size(), 2U);
+  balancer.AddTarget(Silent(1));
+  EXPECT_EQ(targets_of_next_flows(milliseconds(20)).size(), 2U);
+  balancer.Advance(milliseconds(1100));
+  EXPECT_EQ(targets_of_next_flows(milliseconds(20)), std::set<TargetId>{MakeTarget(2).m_id});
+}
+
+// Guards against flows to the targets of a data centre that is out of service because all others are silent.
+TEST(CookieSteeringTest, SilentTargetOfDataCentreThatIsOutGetsNothing) {
+  Balancer balancer;
+  PublishedState state = MakeState();
+  state.m_data_centres_out.insert("a");
+  balancer.ApplyState(state);
+  balancer.AddTarget(MakeTarget(1));
+  balancer.Advance(milliseconds(5000));
+  balancer.AddTarget(Silent(1));
+  EXPECT_EQ(balancer.Steer(OpeningPacket(1)).m_action, SteeringAction::kReset);
+}
+
 // Guards against a reset of an open flow by a balancer that does not know its target yet.
 TEST(CookieSteeringTest, UnknownCookieIsDroppedAndNotReset) {
   Balancer balancer;
--- a/tests/steering_directory_test.cc
+++ b/tests/steering_directory_test.cc
@@ -65,6 +65,17 @@
   EXPECT_EQ(directory.Find(MakeTarget(1).m_id)->m_state, RecordState::kReady);
 }
 
+// Guards against a drain that is forgotten when the target ends without deregistering: a silent target may be tried
+// again when no other is left, a draining one must not.
+TEST(TargetDirectoryTest, DrainingTargetStaysDrainingInSilence) {
+  TargetDirectory directory;
+  (void)directory.Announce(kStart, WithSequence(MakeTarget(1), 5, RecordState::kDraining));
+  EXPECT_TRUE(directory.Expire(kStart + milliseconds(4100)).empty());
+  EXPECT_EQ(directory.Find(MakeTarget(1).m_id)->m_state, RecordState::kDraining);
+  (void)directory.Expire(kStart + std::chrono::seconds(91));
+  EXPECT_EQ(directory.Size(), 0U);
+}
+
 // Guards against a host that declares targets silent because it was itself partitioned from the network.
 TEST(TargetDirectoryTest, SilenceDuringAPartitionIsIgnored) {
   TargetDirectory directory;
