--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/fiber/operations.hpp>
+#include <charconv>
 #include <iostream>
 #include <map>
 #include <string_view>
@@ -38,7 +39,8 @@
 ExitCode ReportNoAnswer(const Error& error, bool was_ticket) {
   std::cerr << "no final answer before the deadline; last: " << error.m_detail << "\n";
   std::cerr << (was_ticket ? "next: run the same command again (a resend is safe), or ask with `where NUMBER`\n"
-                           : "next: check --control and that a control host runs, or raise --deadline\n");
+                           : "next: check --control and that a control host runs, or raise --deadline; "
+                             "`show --local` asks one host without a majority\n");
   return ExitCode::kNoAnswer;
 }
 
@@ -149,7 +151,8 @@
 }
 
 ExitCode Show(const CommandLine& line) {
-  const Result<json> state = MakeClient(line).Get("/v1/state");
+  ControlClient client = MakeClient(line);
+  const Result<json> state = line.m_local ? client.Get("/v1/state") : client.GetConfirmedState();
   if (!IsOk(state)) return ReportNoAnswer(ErrorOf(state), false);
   if (line.m_json) {
     std::cout << ValueOf(state).dump() << "\n";
@@ -161,11 +164,9 @@
 
 ExitCode Where(const CommandLine& line) {
   TicketNumber number;
-  try {
-    number.m_value = std::stoull(line.m_arguments[0]);
-  } catch (const std::exception&) {
-    return ReportUsageError("not a ticket number: " + line.m_arguments[0]);
-  }
+  const std::string& text = line.m_arguments[0];
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number.m_value);
+  if (error != std::errc() || end != text.data() + text.size()) return ReportUsageError("not a ticket number: " + text);
   const TicketStatus status = MakeClient(line).QueryTicket(number);
   if (status.m_unreachable_hosts.size() == line.m_control_hosts.size()) {
     return ReportNoAnswer(MakeError(ErrorCode::kIoTimeout, "no control host answered"), false);
@@ -203,7 +204,7 @@
   if (!IsOk(text)) return ReportUsageError("cannot read " + line.m_arguments[0]);
   const Result<Ticket> ticket = ParseTicket(ValueOf(text));
   if (!IsOk(ticket)) return ReportUsageError(ToString(ErrorOf(ticket)) + "\nnext: correct the named field");
-  const Result<json> state = MakeClient(line).Get("/v1/state");
+  const Result<json> state = MakeClient(line).GetConfirmedState();
   if (!IsOk(state)) return ReportNoAnswer(ErrorOf(state), false);
   const json services = ValueOf(state).value("services", json::array());
   const json data_centres = ValueOf(state).value("data_centres", json::array());
@@ -241,7 +242,7 @@
 }
 
 ExitCode SetDataCentre(const CommandLine& line, const char* new_state) {
-  const Result<json> state = MakeClient(line).Get("/v1/state");
+  const Result<json> state = MakeClient(line).GetConfirmedState();
   if (!IsOk(state)) return ReportNoAnswer(ErrorOf(state), false);
   const json data_centres = ValueOf(state).value("data_centres", json::array());
   const json* found = FindByName(data_centres, line.m_arguments[0]);
@@ -257,7 +258,7 @@
 ExitCode In(const CommandLine& line) { return SetDataCentre(line, "in"); }
 
 ExitCode Drain(const CommandLine& line) {
-  const Result<json> state = MakeClient(line).Get("/v1/state");
+  const Result<json> state = MakeClient(line).GetConfirmedState();
   if (!IsOk(state)) return ReportNoAnswer(ErrorOf(state), false);
   const json services = ValueOf(state).value("services", json::array());
   const json* found = FindByName(services, line.m_arguments[0]);
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -43,6 +43,8 @@
   std::chrono::milliseconds m_deadline{10000};
   bool m_json = false;
   bool m_wait = true;
+  /// `show`: the state of any one control host, which may be old.
+  bool m_local = false;
   bool m_force = false;
 };
 
--- a/programs/ctl/control_client.cc
+++ b/programs/ctl/control_client.cc
@@ -67,6 +67,11 @@
   return ExchangeUntilFinal({"GET", path, {}, ""}, [](const json&) { return true; });
 }
 
+Result<json> ControlClient::GetConfirmedState() {
+  return ExchangeUntilFinal({"GET", "/v1/state?confirmed=1", {}, ""},
+                            [](const json& response) { return !response.contains("code"); });
+}
+
 std::vector<json> ControlClient::GetFromAll(const std::string& path) const {
   std::vector<json> responses;
   for (const Endpoint& host : m_control_hosts) {
--- a/programs/ctl/control_client.h
+++ b/programs/ctl/control_client.h
@@ -44,6 +44,9 @@
   /// Gets a JSON document from the first control host that responds. Errors: `kIoTimeout`.
   [[nodiscard]] Result<nlohmann::json> Get(const std::string& path);
 
+  /// Gets the newest accepted state from the leader, which confirms that no later one exists. Errors: `kIoTimeout`.
+  [[nodiscard]] Result<nlohmann::json> GetConfirmedState();
+
   /// Gets a JSON document from every control host; those that do not respond are left out.
   [[nodiscard]] std::vector<nlohmann::json> GetFromAll(const std::string& path) const;
 
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -35,8 +35,9 @@
       cxxopts::value<std::uint64_t>())("deadline", "milliseconds for the whole command",
                                        cxxopts::value<std::uint64_t>())(
       "force", "accept a generated ticket that fails a safety check (codes 3004 to 3006)")(
-      "no-wait", "do not wait for \"in force\"")("json", "print JSON")("check-config", "check the settings and exit")(
-      "version", "print the version")("help", "print this text")("command", "", cxxopts::value<std::string>())(
+      "no-wait", "do not wait for \"in force\"")("local", "with show: the state of one control host, which may be old")(
+      "json", "print JSON")("check-config", "check the settings and exit")("version", "print the version")(
+      "help", "print this text")("command", "", cxxopts::value<std::string>())(
       "arguments", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "arguments"});
   return options;
@@ -86,6 +87,7 @@
   }
   line->m_force = parsed.count("force") > 0;
   line->m_wait = parsed.count("no-wait") == 0;
+  line->m_local = parsed.count("local") > 0;
   line->m_json = parsed.count("json") > 0;
   if (parsed.count("command") > 0) line->m_command = parsed["command"].as<std::string>();
   if (parsed.count("arguments") > 0) line->m_arguments = parsed["arguments"].as<std::vector<std::string>>();
--- a/src/daemon/control_http.cc
+++ b/src/daemon/control_http.cc
@@ -82,7 +82,7 @@
   if (path == kTickets && request.m_method == "POST") return PostTicket(request);
   if (request.m_method != "GET") return ErrorResponse(405, MakeError(ErrorCode::kRequestMalformed, "method"));
   if (path.starts_with("/v1/tickets/")) return GetTicket(path.substr(kTickets.size() + 1));
-  if (path == "/v1/state") return GetState();
+  if (path == "/v1/state") return GetState(ParseQuery(query));
   if (path == "/v1/delta") return GetSignedDelta(request, query);
   if (path == "/v1/hosts") return GetHosts();
   if (path == "/v1/health") return GetHealth();
@@ -113,11 +113,7 @@
   m_metrics->CountTicket(answer.m_code);
   m_metrics->ObserveTicketSeconds(std::chrono::duration<double>(steady_clock::now() - start).count());
   ordered_json json = AnswerToJson(answer);
-  if (answer.m_code == ErrorCode::kTicketNotLeader) {
-    if (const config::ControlPeer* leader = FindPeer(m_backend->GetStatus().m_leader)) {
-      json["leader"] = ToString(leader->m_http_endpoint);
-    }
-  }
+  if (answer.m_code == ErrorCode::kTicketNotLeader) AddLeader(&json);
   HttpResponse response = JsonResponse(HttpStatusOf(answer.m_code), json);
   SetHeader(&response.m_headers, "Fighatch-Code", std::to_string(static_cast<int>(answer.m_code)));
   return response;
@@ -148,7 +144,23 @@
   return JsonResponse(accepted == nullptr ? 404 : 200, json);
 }
 
-HttpResponse ControlHttp::GetState() const { return JsonResponse(200, StateToJson(m_backend->Processor().State())); }
+void ControlHttp::AddLeader(nlohmann::ordered_json* json) const {
+  const config::ControlPeer* leader = FindPeer(m_backend->GetStatus().m_leader);
+  if (leader != nullptr) (*json)["leader"] = ToString(leader->m_http_endpoint);
+}
+
+HttpResponse ControlHttp::GetState(const Parameters& parameters) const {
+  const auto confirmed = parameters.find("confirmed");
+  const bool must_confirm = confirmed != parameters.end() && confirmed->second == "1";
+  if (!must_confirm || m_backend->CanServeLinearizableReads()) {
+    return JsonResponse(200, StateToJson(m_backend->Processor().State()));
+  }
+  ordered_json json{{"code", static_cast<int>(ErrorCode::kTicketNotLeader)},
+                    {"error", ErrorName(ErrorCode::kTicketNotLeader)},
+                    {"detail", "this host cannot confirm that its state is the newest"}};
+  AddLeader(&json);
+  return JsonResponse(503, json);
+}
 
 void ControlHttp::RecordBalancerReport(HostId host, Version version_in_force) {
   const auto now = steady_clock::now();
--- a/src/daemon/control_http.h
+++ b/src/daemon/control_http.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 #include "config/control_settings.h"
@@ -40,7 +41,10 @@
 
   [[nodiscard]] HttpResponse PostTicket(const HttpRequest& request);
   [[nodiscard]] HttpResponse GetTicket(const std::string& number_text);
-  [[nodiscard]] HttpResponse GetState() const;
+  // With the parameter confirmed=1 only a leader that can confirm that its state is the newest answers with it.
+  [[nodiscard]] HttpResponse GetState(const Parameters& parameters) const;
+  // Adds the HTTP endpoint of the leader, if it is known.
+  void AddLeader(nlohmann::ordered_json* json) const;
   /// Answers a signed request for deltas, and signs the response. Without a valid signature the response is 401 with
   /// the error of `HttpAuthenticator::Verify`.
   [[nodiscard]] HttpResponse GetSignedDelta(const HttpRequest& request, const std::string& query);
--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -305,5 +305,29 @@
   EXPECT_EQ(run({"no-such-command"}), 1);
 }
 
+// Guards against a tool that compares or changes an old state: the only control host that answers was suspended while a
+// ticket was accepted, and has not seen it.
+TEST_F(ControlProcessTest, ToolRefusesToWorkOnOldState) {
+  const io::Reactor reactor;
+  EXPECT_EQ(PostUntilFinal(MakeTicket(1, 1)).value("code", -1), 0);
+  WaitUntilReplicasConverge();
+  const std::uint32_t leader = WaitForLeader();
+  const std::uint32_t behind = leader % kHostCount + 1;
+  m_processes[behind]->Signal(SIGSTOP);
+  EXPECT_EQ(Post(leader, MakeTicket(2, 1)).value("code", -1), 0);
+  for (const auto& [host, process] : m_processes) process->Signal(host == behind ? SIGCONT : SIGSTOP);
+  std::ofstream(kFolder + "/ticket.json") << MakeTicket(2, 1);
+  const auto run = [&](std::vector<std::string> arguments) {
+    arguments.insert(arguments.end(), {"--key", kFolder + "/operator.key", "--deadline", "1500", "--control"});
+    arguments.push_back(ToString(m_http_endpoints[behind]));
+    return Process("fighatchctl", arguments).Wait();
+  };
+  constexpr int kNoAnswer = 3;
+  EXPECT_EQ(run({"diff", kFolder + "/ticket.json"}), kNoAnswer);
+  EXPECT_EQ(run({"show"}), kNoAnswer);
+  EXPECT_EQ(run({"out", "dc1"}), kNoAnswer);
+  EXPECT_EQ(run({"show", "--local"}), 0);
+}
+
 }  // namespace
 }  // namespace fighatch
