Ask the former keepers for records while a change of weights is learned

Cause: when the weight of a data centre changes, the keepers of the slots that move change with the start of the learning phase, before the records that the former keepers hold have reached them. A flow that had opened at an intermediate owner in an earlier change has only its record; for 0.2 to 0.3 s the new keeper had none and sent the flow to the base owner.

Ruled out: late balancers (the violations come from balancers with the newest table), the condensing of past owner lists, and a keeper that stays with the former data centre through learning (new flows of balancers that have moved on would then be unknown to those that have not).

Change: in the learning phase a keeper without a record asks the keeper of the current data centre, as it already asks the base data centre's. A balancer that receives a record which its sender would have sent elsewhere by a newer member list passes it on.

--- a/include/fighatch/flow_decider.h
+++ b/include/fighatch/flow_decider.h
@@ -120,11 +120,20 @@
   [[nodiscard]] Decision DecideChanging(const Context& context, std::uint32_t slot);
   [[nodiscard]] Decision DecideSettled(const Context& context, const TargetEntry& owner);
   [[nodiscard]] Decision DecideAsKeeper(const Context& context, const SlotOwners& owners);
+  /// Decides on a packet whose record neither the present nor the former keepers hold.
+  [[nodiscard]] Decision DecideWithoutRecord(const Context& context, const SlotOwners& owners);
+  /// True if the present keeper, which holds no record, asks this balancer as the keeper before the change.
+  [[nodiscard]] bool IsAskedAsFormerKeeper(const Context& context, const SlotOwners& owners) const noexcept;
+  /// The first keeper of a flow in a data centre, or the second one if the first is suspect; null if there is none.
+  [[nodiscard]] const BalancerEntry* ResponsiveKeeper(DataCentreId data_centre, std::uint64_t flow_hash) const noexcept;
   [[nodiscard]] Decision OpenFlow(const Context& context, const SlotOwners& owners);
   /// Sends a packet without a record to the base owner of its slot.
   [[nodiscard]] Decision SendToBase(const Context& context, const SlotOwners& owners);
   [[nodiscard]] Decision SendToTarget(const Context& context, const TargetEntry& target);
   [[nodiscard]] Decision SendToBalancer(const Context& context, const BalancerEntry* balancer, ForwardReason reason);
+  /// Sends a record that has just arrived on to the balancers that the sender may not have known as its holders: to the
+  /// present ones if this balancer is none of them, otherwise to those that are joining.
+  void PassOnReceivedRecord(const FlowRecord& record);
   /// True if this balancer decides by its own records and table instead of forwarding the packet to a keeper.
   [[nodiscard]] bool ActsAsKeeper(const Context& context, const KeeperPair& keepers) const noexcept;
   /// A balancer with a confirmed table that the packet may be forwarded to; null if there is none.
--- a/src/flow/flow_decider.cc
+++ b/src/flow/flow_decider.cc
@@ -88,11 +88,14 @@
   }
   const KeeperPair keepers = m_table->Keepers().Find(owners.m_keeper_data_centre, context.m_packet->m_flow_hash);
   if (ActsAsKeeper(context, keepers)) return DecideAsKeeper(context, owners);
+  // A datagram without a record goes back to the present keeper, which opens the flow and holds its record.
+  const bool is_later = context.m_packet->m_kind == PacketKind::kLater;
+  if (is_later && IsAskedAsFormerKeeper(context, owners)) return DecideWithoutRecord(context, owners);
   // A keeper in another data centre forwarded the packet to the base data centre, whose level 2 table gives the owner
   // of flows without a record.
   const bool is_base_keeper = owners.m_ask_base_keeper && IsFromKeeperLookup(context.m_packet->m_reason) &&
                               m_table->SelfDataCentre() == owners.m_base_data_centre;
-  if (is_base_keeper && context.m_packet->m_kind == PacketKind::kLater) return SendToBase(context, owners);
+  if (is_base_keeper && is_later) return SendToBase(context, owners);
   if (keepers.m_first->m_suspect && keepers.m_second != nullptr) {
     return SendToBalancer(context, keepers.m_second, ForwardReason::kSecondKeeper);
   }
@@ -111,12 +114,37 @@
   return keepers.m_first->m_suspect || context.m_packet->m_reason == ForwardReason::kSecondKeeper;
 }
 
+bool FlowDecider::IsAskedAsFormerKeeper(const Context& context, const SlotOwners& owners) const noexcept {
+  // After one hop the packet comes from a balancer with an older table, by which this one is still the keeper: the
+  // present keepers are asked first then.
+  constexpr std::uint8_t kHopsByPresentKeeper = 2;
+  return owners.m_ask_former_keeper && owners.m_current != nullptr && IsFromKeeperLookup(context.m_packet->m_reason) &&
+         context.m_packet->m_hop_count >= kHopsByPresentKeeper &&
+         m_table->SelfDataCentre() == owners.m_current->m_data_centre;
+}
+
+const BalancerEntry* FlowDecider::ResponsiveKeeper(DataCentreId data_centre, std::uint64_t flow_hash) const noexcept {
+  const KeeperPair keepers = m_table->Keepers().Find(data_centre, flow_hash);
+  const bool use_second = keepers.m_first != nullptr && keepers.m_first->m_suspect && keepers.m_second != nullptr;
+  return use_second ? keepers.m_second : keepers.m_first;
+}
+
 Decision FlowDecider::DecideAsKeeper(const Context& context, const SlotOwners& owners) {
+  const Packet& packet = *context.m_packet;
+  const bool may_have_record = packet.m_kind != PacketKind::kFirst;
+  if (owners.m_ask_former_keeper && may_have_record && packet.m_hop_count + 1 < kMaxHops &&
+      owners.m_current != nullptr) {
+    const BalancerEntry* keeper = ResponsiveKeeper(owners.m_current->m_data_centre, packet.m_flow_hash);
+    if (keeper != nullptr) return SendToBalancer(context, keeper, ForwardReason::kKeeper);
+  }
+  return DecideWithoutRecord(context, owners);
+}
+
+Decision FlowDecider::DecideWithoutRecord(const Context& context, const SlotOwners& owners) {
   if (context.m_packet->m_kind != PacketKind::kLater) return OpenFlow(context, owners);
-  if (owners.m_ask_base_keeper && context.m_packet->m_hop_count + 1 < kMaxHops) {
-    const KeeperPair base = m_table->Keepers().Find(owners.m_base_data_centre, context.m_packet->m_flow_hash);
-    const bool use_second = base.m_first != nullptr && base.m_first->m_suspect && base.m_second != nullptr;
-    const BalancerEntry* keeper = use_second ? base.m_second : base.m_first;
+  const bool asks_base = owners.m_ask_base_keeper && owners.m_base_data_centre != m_table->SelfDataCentre();
+  if (asks_base && context.m_packet->m_hop_count + 1 < kMaxHops) {
+    const BalancerEntry* keeper = ResponsiveKeeper(owners.m_base_data_centre, context.m_packet->m_flow_hash);
     if (keeper != nullptr) return SendToBalancer(context, keeper, ForwardReason::kKeeper);
   }
   return SendToBase(context, owners);
--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -139,7 +139,11 @@
   for (const WireFlowRecord& record : message.m_records) {
     const std::uint32_t last_seen = record.m_age < tick ? tick - record.m_age : 0;
     const FlowRecord held{record.m_fingerprint, record.m_target, record.m_service, last_seen};
-    if (held.m_target.m_value != 0) all_taken = m_records.Insert(held) && all_taken;
+    if (held.m_target.m_value == 0) continue;
+    const bool is_new = m_records.Find(held.m_fingerprint, held.m_service) == nullptr;
+    const bool is_taken = m_records.Insert(held);
+    if (is_new && is_taken) PassOnReceivedRecord(held);
+    all_taken = is_taken && all_taken;
   }
   if (message.m_final) {
     FinishedTransfer& finished = m_finished_transfers[message.m_sender];
@@ -152,6 +156,16 @@
   return {kFlowRecordsVersion, self, message.m_shard, all_taken ? message.m_sequence : 0};
 }
 
+void FlowDecider::PassOnReceivedRecord(const FlowRecord& record) {
+  if (m_table == nullptr) return;
+  const RecordHolders present = RecordHoldersBy(*m_table, record, false);
+  const bool is_holder = present.Has(m_table->Self());
+  if (is_holder && *present.begin() != m_table->Self()) return;
+  for (const HostId host : RecordHoldersBy(*m_table, record, true)) {
+    if (host != m_table->Self() && !(is_holder && present.Has(host))) m_transfer.QueueBulk(host, record);
+  }
+}
+
 std::vector<OutgoingRecords> FlowDecider::Tick(TimePoint now) {
   if (m_table == nullptr) return {};
   if (m_is_scanning) {
--- a/src/flow/forwarding_table.cc
+++ b/src/flow/forwarding_table.cc
@@ -74,6 +74,7 @@
   }
   owners.m_record_first = (found->m_flags & kSlotRecordFirst) != 0;
   owners.m_ask_base_keeper = (found->m_flags & kSlotAskBaseKeeper) != 0;
+  owners.m_ask_former_keeper = (found->m_flags & kSlotAskFormerKeeper) != 0;
   owners.m_base_cut_off = (found->m_flags & kSlotBaseCutOff) != 0;
   owners.m_base = TargetAt(found->m_base);
   owners.m_current = TargetAt(found->m_current);
--- a/src/flow/service_table_builder.cc
+++ b/src/flow/service_table_builder.cc
@@ -268,6 +268,10 @@
   owners.m_keeper_data_centre = keeper_known ? m_data_centres[keeper_index].m_id.m_value : self;
   owners.m_base_data_centre = base_index == kNoOwner ? self : m_data_centres[base_index].m_id.m_value;
 
+  const bool keepers_move = is_learning && next_index != kNoOwner && current_index != kNoOwner &&
+                            current_index != keeper_index && !cut_off(current_index);
+  if (keepers_move) owners.m_flags |= kSlotAskFormerKeeper;
+
   const bool follows_base = owners.m_next == kNoOwner || owners.m_next == owners.m_base;
   if (owners.m_current != owners.m_base || !follows_base) owners.m_flags |= kSlotRecordFirst;
   if (cut_off(base_index)) owners.m_flags |= kSlotBaseCutOff | kSlotRecordFirst;
--- a/src/flow/slot_flags.h
+++ b/src/flow/slot_flags.h
@@ -10,6 +10,7 @@
 inline constexpr std::uint16_t kSlotRecordFirst = 1;
 inline constexpr std::uint16_t kSlotAskBaseKeeper = 2;
 inline constexpr std::uint16_t kSlotBaseCutOff = 4;
+inline constexpr std::uint16_t kSlotAskFormerKeeper = 8;
 
 /// The most targets of one service: the highest 16-bit index means "no owner".
 inline constexpr std::size_t kMaxTargets = 0xFFFE;
--- a/tests/flow_cluster.h
+++ b/tests/flow_cluster.h
@@ -57,6 +57,10 @@
   FlowCluster();
 
   void Apply(const Step& step);
+  /// Sets the share of the second data centre in the flows of the first service; that of the first one is 1.
+  void SetShareOfSecondDataCentre(std::uint16_t weight) { m_changes[{1, 0}].m_wanted.at(1).m_weight = weight; }
+  /// How many of the last callers stay open when new ones come.
+  void SetOpenCallers(std::uint32_t callers) { m_open_callers = callers; }
   [[nodiscard]] const FlowOracle& Oracle() const { return m_oracle; }
 
  private:
@@ -144,6 +148,7 @@
   std::map<std::uint32_t, Caller> m_callers;
   std::uint32_t m_last_target = 10;
   std::uint32_t m_last_flow = 0;
+  std::uint32_t m_open_callers = 79;
   std::int64_t m_last_fault = 0;
   std::int64_t m_last_balancer_fault = 0;
   FlowOracle m_oracle;
--- a/tests/flow_cluster_impl.h
+++ b/tests/flow_cluster_impl.h
@@ -346,7 +346,7 @@
       caller.m_service = static_cast<std::uint32_t>(1 + m_random.Below(2));
       caller.m_is_udp = Chance(25);
       caller.m_next_send = m_now + Delay(0, 1500);
-      if (m_last_flow >= 80) m_callers[m_last_flow - 79].m_is_closed = true;
+      if (m_last_flow > m_open_callers) m_callers[m_last_flow - m_open_callers].m_is_closed = true;
       m_callers[++m_last_flow] = caller;
     }
   } else if (step.m_kind == StepKind::kRun) {
