--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -148,6 +148,12 @@
   m_applied = snapshot.m_index;
   m_snapshot_index = snapshot.m_index;
   m_bytes_since_snapshot = 0;
+  // The snapshot does not tell which entries led to it, so these proposals may or may not be among them.
+  while (!m_pending.empty() && m_pending.begin()->first.first <= snapshot.m_index) {
+    m_pending.begin()->second->m_result = MakeError(
+        ErrorCode::kTicketOutcomeUnknown, "a snapshot covers the proposal; send it again to learn the outcome");
+    m_pending.erase(m_pending.begin());
+  }
   LOG(INFO) << "event=snapshot_restored index=" << snapshot.m_index << " bytes=" << snapshot.m_data.size();
 }
 
@@ -195,7 +201,9 @@
 
 Error LogReplica::NotLeaderError() const {
   const std::optional<RaftPeer> leader = m_node.Leader();
-  if (!leader || *leader == m_node.Self()) return MakeError(ErrorCode::kTicketNoQuorum, "this host knows no leader");
+  if (!leader) return MakeError(ErrorCode::kTicketNoQuorum, "this host knows no leader");
+  if (*leader == m_node.Self())
+    return MakeError(ErrorCode::kTicketNoQuorum, "this host is handing over its leadership");
   return MakeError(ErrorCode::kTicketNotLeader, "host " + std::to_string(leader->m_host.m_value) + " is the leader");
 }
 
--- /dev/null
+++ b/tests/log_replica_test.cc
@@ -0,0 +1,85 @@
+#include "daemon/log_replica.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include "fighatch/file_log_storage.h"
+#include "fighatch/hash.h"
+#include "memory_directory.h"
+
+namespace fighatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+const RaftPeer kSelf{HostId{1}, DiskId{1}};
+const RaftPeer kOther{HostId{2}, DiskId{1}};
+
+// The other voter: it grants every vote and answers nothing else, so that nothing is ever committed.
+class VotingPeer : public MessageTransport {
+ public:
+  void Start(Receiver receive) override { m_receive = std::move(receive); }
+  void Send(HostId /*to*/, std::vector<std::byte> bytes) override {
+    const Result<RaftMessage> message = DecodeRaftMessage(bytes);
+    if (!IsOk(message)) return;
+    m_term = std::max(m_term, ValueOf(message).m_term);
+    if (const auto* request = std::get_if<VoteRequest>(&ValueOf(message).m_body)) {
+      const Term request_term = ValueOf(message).m_term;
+      const Term own_term = request->m_pre_vote ? request_term - 1 : request_term;
+      Deliver(own_term, VoteReply{request->m_pre_vote, true, request_term});
+    }
+  }
+  void Stop() override {}
+
+  void Deliver(Term term, decltype(RaftMessage::m_body) body) {
+    m_receive(EncodeRaftMessage({kOther, kSelf, term, std::move(body)}));
+  }
+  [[nodiscard]] Term HighestTerm() const { return m_term; }
+
+ private:
+  Receiver m_receive;
+  Term m_term = 0;
+};
+
+class NoState : public ReplicatedStateMachine {
+ public:
+  std::any Apply(const LogEntry& /*entry*/) override { return {}; }
+  [[nodiscard]] std::string EncodeSnapshot() const override { return {}; }
+  [[nodiscard]] Status Restore(std::span<const std::byte> /*bytes*/) override { return OkStatus(); }
+};
+
+// Guards against a proposal that a later leader committed, and that its submitter is told was not accepted, because
+// only the snapshot behind it arrives here.
+TEST(LogReplicaTest, ProposalCoveredBySnapshotHasUnknownOutcome) {
+  const io::Reactor reactor;
+  testing_support::MemoryDirectory directory(1);
+  const DiskIdentity identity{kSelf, {{{kSelf, true}, {kOther, true}}, {}}};
+  ASSERT_TRUE(IsOk(FileLogStorage::Format(&directory, identity)));
+  auto storage = FileLogStorage::Open(&directory, kSelf.m_host);
+  ASSERT_TRUE(IsOk(storage));
+  LogReplicaOptions options;
+  options.m_submit_timeout = std::chrono::seconds(20);
+  NoState machine;
+  VotingPeer peer;
+  LogReplica replica(options, ValueOf(storage).get(), ValueOf(storage)->TakeStored(), &machine, &peer);
+  replica.Start([] {});
+  while (replica.Node().Role() != RaftRole::kLeader) boost::this_fiber::sleep_for(milliseconds(5));
+  std::optional<Result<std::any>> result;
+  boost::fibers::fiber submitter([&] { result = replica.Submit("payload"); });
+  while (replica.Node().Log().LastIndex() < 2) boost::this_fiber::sleep_for(milliseconds(5));
+  const std::string state = "state";
+  const Term next_term = peer.HighestTerm() + 1;
+  peer.Deliver(next_term, SnapshotChunk{100, next_term, identity.m_founding_configuration, 0, state.size(),
+                                        HashText(state), 0, state});
+  // The entry after the snapshot shows that the proposal's index is committed, but not with which entry.
+  peer.Deliver(next_term, AppendRequest{100, next_term, 101, 0, {{101, next_term, EntryKind::kEmpty, {}}}});
+  submitter.join();
+  ASSERT_TRUE(result.has_value() && !IsOk(*result));
+  EXPECT_EQ(ErrorOf(*result).m_code, ErrorCode::kTicketOutcomeUnknown);
+  replica.Stop();
+}
+
+}  // namespace
+}  // namespace fighatch::daemon
