Keep a process and its requests through malformed input and planned stops

Found while looking for failures that operators of similar systems named: - A planned stop shut the receiving side of connections on which a part of a request had arrived, so that the request was cut off without an answer. Only idle connections are shut now; the rest of a request may arrive within a second. - A path that is not UTF-8 was repeated in a JSON error, whose dump throws: one request ended a control host. Errors and spans replace such bytes, and an exception of a handler becomes a 500. - An empty fragment that arrived twice counted twice and completed a message with a part missing.

--- a/src/daemon/control_http.cc
+++ b/src/daemon/control_http.cc
@@ -44,7 +44,10 @@
 }
 
 HttpResponse JsonResponse(int status, const ordered_json& json) {
-  return {status, {{"Content-Type", "application/json"}}, json.dump() + "\n"};
+  // Texts of a request are repeated in errors and may hold bytes that are not UTF-8, for which `dump` throws by
+  // default.
+  const std::string text = json.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+  return {status, {{"Content-Type", "application/json"}}, text + "\n"};
 }
 
 HttpResponse ErrorResponse(int status, const Error& error) {
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
+#include <exception>
 #include <vector>
 
 #include "io/socket_address.h"
@@ -17,6 +18,8 @@
 
 // Longest wait of the accept loop before it checks for a stop, and its pause after a failed accept.
 constexpr std::chrono::milliseconds kStopCheckInterval{250};
+// After a stop, a request of which a part has arrived may still be completed for this long.
+constexpr std::chrono::milliseconds kStopReadTime{1000};
 // Connections beyond this number are closed at once.
 constexpr int kMaxConnections = 4096;
 
@@ -61,7 +64,8 @@
 
 void HttpServer::Stop() noexcept {
   m_stopping = true;
-  for (const int fd : m_reading_fds) shutdown(fd, SHUT_RD);
+  m_stopped_at = steady_clock::now();
+  for (const int fd : m_idle_fds) shutdown(fd, SHUT_RD);
 }
 
 void HttpServer::Serve() {
@@ -84,7 +88,6 @@
 void HttpServer::ServeConnection(TcpStream stream) {
   const Endpoint peer = PeerOf(stream);
   std::vector<std::byte> received;
-  std::array<std::byte, 16384> chunk;
   for (;;) {
     std::size_t missing_bytes = 1;
     Result<std::optional<ParsedHttpMessage<HttpRequest>>> parsed =
@@ -97,7 +100,7 @@
     }
     if (ValueOf(parsed)) {
       const ParsedHttpMessage<HttpRequest>& request = *ValueOf(parsed);
-      const std::string text = ToString(m_handler(request.m_message, peer));
+      const std::string text = ToString(Respond(request.m_message, peer));
       const Status written =
           stream.WriteAll(std::as_bytes(std::span(text)), steady_clock::now() + m_options.m_idle_timeout);
       if (!IsOk(written) || !request.m_keep_alive) return;
@@ -105,14 +108,36 @@
       continue;
     }
     if (m_stopping && received.empty()) return;
-    for (std::size_t read_bytes = 0; read_bytes < missing_bytes;) {
-      m_reading_fds.insert(stream.Fd());
-      const Result<std::size_t> count = stream.ReadSome(chunk, steady_clock::now() + m_options.m_idle_timeout);
-      m_reading_fds.erase(stream.Fd());
-      if (!IsOk(count) || ValueOf(count) == 0) return;
-      read_bytes += ValueOf(count);
-      received.insert(received.end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(ValueOf(count)));
-    }
+    if (!ReadMore(&stream, missing_bytes, &received)) return;
+  }
+}
+
+bool HttpServer::ReadMore(TcpStream* stream, std::size_t missing_bytes, std::vector<std::byte>* received) {
+  std::array<std::byte, 16384> chunk;
+  const auto idle_deadline = steady_clock::now() + m_options.m_idle_timeout;
+  for (std::size_t read_bytes = 0; read_bytes < missing_bytes;) {
+    const bool is_idle = received->empty();
+    if (is_idle) m_idle_fds.insert(stream->Fd());
+    // A part of a request is read on in short steps, each of which checks for a stop.
+    const auto deadline = is_idle ? idle_deadline : steady_clock::now() + kStopCheckInterval;
+    const Result<std::size_t> count = stream->ReadSome(chunk, deadline);
+    if (is_idle) m_idle_fds.erase(stream->Fd());
+    const bool timed_out = !IsOk(count) && ErrorOf(count).m_code == ErrorCode::kIoTimeout;
+    const auto now = steady_clock::now();
+    if (timed_out && !is_idle && now < idle_deadline && (!m_stopping || now - m_stopped_at < kStopReadTime)) continue;
+    if (!IsOk(count) || ValueOf(count) == 0) return false;
+    read_bytes += ValueOf(count);
+    received->insert(received->end(), chunk.begin(), chunk.begin() + static_cast<std::ptrdiff_t>(ValueOf(count)));
+  }
+  return true;
+}
+
+HttpResponse HttpServer::Respond(const HttpRequest& request, const Endpoint& peer) const {
+  try {
+    return m_handler(request, peer);
+  } catch (const std::exception& error) {
+    // The exception would end the process, and with it all other requests.
+    return {500, {{"Connection", "close"}}, std::string("internal error: ") + error.what() + "\n"};
   }
 }
 
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "fighatch/address.h"
 #include "fighatch/http_message.h"
@@ -33,7 +34,8 @@
 
   [[nodiscard]] const Endpoint& Local() const noexcept { return m_listener.Local(); }
 
-  /// Accepts connections until `Stop`; then waits until requests in progress have been answered.
+  /// Accepts connections until `Stop`; then waits until requests in progress have been answered, among them those of
+  /// which a part has arrived and the rest arrives within a second.
   void Serve();
 
   /// Makes `Serve` return; call it on the same thread.
@@ -43,6 +45,10 @@
   HttpServer(TcpListener listener, HttpHandler handler, const HttpServerOptions& options);
 
   void ServeConnection(TcpStream stream);
+  // Reads at least `missing_bytes` more bytes of a request; false if the connection must be closed.
+  [[nodiscard]] bool ReadMore(TcpStream* stream, std::size_t missing_bytes, std::vector<std::byte>* received);
+  // Calls the handler; an exception becomes a response with status 500.
+  [[nodiscard]] HttpResponse Respond(const HttpRequest& request, const Endpoint& peer) const;
 
   TcpListener m_listener;
   HttpHandler m_handler;
@@ -50,8 +56,9 @@
   bool m_stopping = false;
   // Open connections, each served by a detached fiber.
   int m_connection_count = 0;
-  // Descriptors of connections whose fiber waits to read. `Stop` shuts down their receiving side, so that they end.
-  std::set<int> m_reading_fds;
+  // Descriptors of connections that wait for a new request. `Stop` shuts down their receiving side, so that they end.
+  std::set<int> m_idle_fds;
+  std::chrono::steady_clock::time_point m_stopped_at;
 };
 
 }  // namespace fighatch::io
--- a/src/io/plain_message_socket.cc
+++ b/src/io/plain_message_socket.cc
@@ -110,13 +110,14 @@
   header.m_id = ReadNumber(bytes, 5, 4);
   header.m_fragment_index = static_cast<std::uint16_t>(ReadNumber(bytes, 9, 2));
   header.m_fragment_count = static_cast<std::uint16_t>(ReadNumber(bytes, 11, 2));
+  const std::span<const std::byte> body = bytes.subspan(kHeaderBytes);
+  const bool is_part = header.m_fragment_count > 1;
   if (header.m_fragment_count == 0 || header.m_fragment_count > kMaxFragments ||
-      header.m_fragment_index >= header.m_fragment_count) {
+      header.m_fragment_index >= header.m_fragment_count || (is_part && body.empty())) {
     ++m_counters.m_malformed;
     return;
   }
-  const std::span<const std::byte> body = bytes.subspan(kHeaderBytes);
-  if (header.m_fragment_count == 1) return CompleteMessage(datagram.m_source, header, body, messages);
+  if (!is_part) return CompleteMessage(datagram.m_source, header, body, messages);
   AddFragment(datagram.m_source, header, body, messages);
 }
 
--- a/src/io/plain_message_socket.h
+++ b/src/io/plain_message_socket.h
@@ -57,6 +57,7 @@
     Endpoint m_source;
     std::uint32_t m_id = 0;
     std::uint16_t m_missing = 0;
+    // Empty until the fragment has arrived; a fragment itself is never empty.
     std::vector<std::vector<std::byte>> m_fragments;
   };
   struct FragmentHeader;
--- a/src/observe/tracer.cc
+++ b/src/observe/tracer.cc
@@ -61,7 +61,7 @@
                           {"duration", ToMicroseconds(span.duration)},
                           {"localEndpoint", {{"serviceName", m_service}}},
                           {"tags", tags}}
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   }
 
   std::mutex m_mutex;
--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -258,6 +258,10 @@
   EXPECT_EQ(ValueOf(refused).m_status, 401);
   EXPECT_EQ(FindHeader(ValueOf(refused).m_headers, "Fighatch-Code"), "3007");
   EXPECT_EQ(Post(leader, "{}").value("code", 0), 3001);
+  // A path that is not UTF-8 is repeated in the error; it must not end the process.
+  const Result<HttpResponse> not_utf8 = Get(leader, "/v1/\xff\xfe");
+  ASSERT_TRUE(IsOk(not_utf8));
+  EXPECT_EQ(ValueOf(not_utf8).m_status, 404);
   EXPECT_EQ(PostUntilFinal(ticket).value("code", -1), 0);
   EXPECT_EQ(PostUntilFinal(ticket).value("code", -1), 0);
   EXPECT_EQ(PostUntilFinal(MakeTicket(1, 2)).value("code", -1), 3002);
--- a/tests/io_test.cc
+++ b/tests/io_test.cc
@@ -4,6 +4,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 #include "io/http_client.h"
@@ -57,6 +58,7 @@
     Result<std::unique_ptr<HttpServer>> server = HttpServer::Create(
         Loopback(),
         [](const HttpRequest& request, const Endpoint& /*peer*/) {
+          if (request.m_path == "/throw") throw std::runtime_error("handler");
           return HttpResponse{200, {}, std::to_string(request.m_body.size())};
         },
         options);
@@ -94,6 +96,31 @@
   EXPECT_THAT(Exchange(Request("", 900 << 10)), testing::EndsWith(std::to_string(900 << 10)));
 }
 
+// Guards against a planned stop that cuts off a request of which a part has arrived.
+TEST_F(HttpServerTest, StopAwaitsTheRestOfARequest) {
+  const std::string request = Request("", 1000);
+  Result<TcpStream> stream = TcpStream::Connect(m_server->Local(), TestDeadline());
+  ASSERT_TRUE(IsOk(stream));
+  const auto send = [&](std::string_view part) {
+    return ValueOf(stream).WriteAll(std::as_bytes(std::span(part)), TestDeadline());
+  };
+  ASSERT_TRUE(IsOk(send(std::string_view(request).substr(0, 500))));
+  boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+  m_server->Stop();
+  boost::this_fiber::sleep_for(std::chrono::milliseconds(300));
+  ASSERT_TRUE(IsOk(send(std::string_view(request).substr(500))));
+  std::array<std::byte, 4096> chunk;
+  const Result<std::size_t> count = ValueOf(stream).ReadSome(chunk, TestDeadline());
+  ASSERT_TRUE(IsOk(count));
+  EXPECT_THAT(std::string(reinterpret_cast<const char*>(chunk.data()), ValueOf(count)), testing::HasSubstr("200"));
+}
+
+// Guards against an exception of one request that ends the process.
+TEST_F(HttpServerTest, ExceptionOfHandlerBecomes500) {
+  EXPECT_THAT(Exchange("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n"), testing::HasSubstr("500"));
+  EXPECT_THAT(Exchange(Request("", 10)), testing::EndsWith("10"));
+}
+
 // Guards against a head of unlimited size that is parsed anew with every chunk.
 TEST_F(HttpServerTest, RefusesLargeHead) {
   EXPECT_THAT(Exchange(Request("X: " + std::string(200 << 10, 'h') + "\r\n", 1)), testing::HasSubstr("413"));
--- a/tests/plain_message_socket_test.cc
+++ b/tests/plain_message_socket_test.cc
@@ -54,6 +54,25 @@
   for (std::size_t index = 0; index < payloads.size(); ++index) EXPECT_EQ(received[index].m_payload, payloads[index]);
 }
 
+// Guards against an empty fragment that arrives twice, counts twice, and completes a message of which a part is
+// missing.
+TEST_F(PlainMessageSocketTest, RefusesEmptyFragments) {
+  Result<UdpSocket> stranger = UdpSocket::Bind({m_address.m_address, 0});
+  ASSERT_TRUE(IsOk(stranger));
+  // Magic, version, type, flags, message id, fragment 0 of 2.
+  const std::vector<std::byte> fragment{
+      std::byte{'F'}, std::byte{'P'}, std::byte{1}, static_cast<std::byte>(MessageType::kRaft),
+      std::byte{0},   std::byte{0},   std::byte{0}, std::byte{0},
+      std::byte{9},   std::byte{0},   std::byte{0}, std::byte{0},
+      std::byte{2}};
+  for (int copy = 0; copy < 2; ++copy) EXPECT_TRUE(ValueOf(stranger).Send(m_address, fragment));
+  boost::fibers::fiber([&] {
+    EXPECT_TRUE(m_receiver.Receive(steady_clock::now() + milliseconds(100)).empty());
+    EXPECT_TRUE(m_receiver.Receive(steady_clock::now() + milliseconds(100)).empty());
+  }).join();
+  EXPECT_EQ(m_receiver.Counters().m_malformed, 2U);
+}
+
 // Guards against datagrams from other programs being accepted as messages.
 TEST_F(PlainMessageSocketTest, CountsAndDropsMalformedDatagrams) {
   Result<UdpSocket> stranger = UdpSocket::Bind({m_address.m_address, 0});
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,6 +1,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "platform/control_calls.h"
 #include "platform/document.h"
 #include "platform/packet_format.h"
@@ -119,6 +121,21 @@
   for (const std::string& document : documents) EXPECT_FALSE(IsOk(DocumentFormat().Read(document))) << document;
 }
 
+// Guards against a process that ends, or a value that is cut, because of extreme content: deep nesting, and numbers
+// that do not fit into 32 or 64 bits.
+TEST(DocumentTest, ExtremeContentIsRefusedOrClamped) {
+  EXPECT_FALSE(IsOk(DocumentFormat().Read(std::string(200000, '['))));
+  EXPECT_FALSE(IsOk(DocumentFormat().Read(R"({"Version":)" + std::string(100000, '9') + "}")));
+  EXPECT_FALSE(IsOk(DocumentFormat().Read(MakeDocument("[]", "[]", "18446744073709551616"))));
+  const Result<RoutingState> state = DocumentFormat().Read(
+      MakeDocument(R"([{"Host":"198.18.0.1","PathPrefix":"/80/","TimeoutMs":1,"Priority":4294967296,)"
+                   R"("Split":[{"Service":"desk","Weight":4294967296},{"Service":"vault","Weight":1}]}])"));
+  ASSERT_TRUE(IsOk(state)) << ToString(ErrorOf(state));
+  const Route& route = ValueOf(state).m_routes.begin()->second;
+  EXPECT_EQ(route.m_priority, std::numeric_limits<std::uint32_t>::max());
+  EXPECT_EQ(route.m_services[0].m_weight, std::numeric_limits<std::uint32_t>::max());
+}
+
 const std::string kAnnouncementBody =
     R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"lahore-a","Version":"v1","Capacity":2,)"
     R"("State":"ready","WarmupLeftMs":0,"Seq":4,"born":1777019916729})";
