--- a/tests/document_limit_test.cc
+++ b/tests/document_limit_test.cc
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <iterator>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "fighatch/routing_log.h"
 #include "fighatch/sync_message.h"
@@ -83,9 +87,25 @@
 
 INSTANTIATE_TEST_SUITE_P(Routes, DocumentLimitTest, testing::Values(ShortestRoute, LongSplitRoute));
 
-// Guards against limits that no longer follow the order in which a document passes the stages; the table of limits in
-// docs/design.md names these constants.
+std::string WithSeparators(std::size_t number) {
+  std::string text = std::to_string(number);
+  for (std::size_t at = text.size(); at > 3;) text.insert(at -= 3, ",");
+  return text;
+}
+
+// Guards against limits that no longer follow the order in which a document passes the stages, and against a table of
+// limits in docs/design.md that differs from the code.
 TEST(DocumentLimitOrderTest, LimitsRiseAlongTheWayOfADocument) {
+  std::ifstream page(FIGHATCH_SOURCE_DIR "/docs/design.md");
+  const std::string text((std::istreambuf_iterator<char>(page)), std::istreambuf_iterator<char>());
+  const std::vector<std::pair<std::string, std::size_t>> rows = {
+      {"kMaxDocumentBytes", kMaxDocumentBytes},
+      {"kMaxEntryPayloadBytes", kMaxEntryPayloadBytes},
+      {"PlainMessageSocket::kMaxPayloadBytes", io::PlainMessageSocket::kMaxPayloadBytes}};
+  for (const auto& [name, bytes] : rows) {
+    const std::string row = "| `" + name + "` | " + WithSeparators(bytes) + " |";
+    EXPECT_NE(text.find(row), std::string::npos) << row;
+  }
   EXPECT_LT(kMaxDocumentBytes, kMaxEntryPayloadBytes);
   EXPECT_LT(kMaxEntryPayloadBytes, io::PlainMessageSocket::kMaxPayloadBytes);
 }
