Bound the exchange of refreshes between control hosts

Cause: a control host confirms news at once, and the answer to the confirmation carried the refreshes of the last few milliseconds, which were confirmed at once in turn: two hosts exchanged messages as fast as the network allowed. Besides, each message that changed the sequence made the host look at every target for every follower.

Change: refreshes go to another control host at most every 100 ms; an answer that leaves them out does not move the position over them. Whether a follower lacks a change is read from the number of the last change; only relevant changes are pushed. The majority is counted over the voters and not over all followers.

--- a/include/fighatch/sync_server.h
+++ b/include/fighatch/sync_server.h
@@ -25,6 +25,10 @@
   /// See `CountInContact`. Several times the interval at which control hosts poll each other.
   static constexpr Duration kContactTimeout = std::chrono::milliseconds(1300);
 
+  /// Refreshes go to another control host at most this often. Each of them is confirmed at once, and the answer to that
+  /// would carry the next ones: two hosts would exchange messages as fast as the network allows.
+  static constexpr Duration kMinRefreshInterval = std::chrono::milliseconds(100);
+
   /// The directory and the log must outlive the server. `incarnation` differs from that of every earlier process.
   SyncServer(HostId self, std::uint64_t incarnation, const TargetDirectory* directory, const RoutingLog* log);
 
@@ -60,9 +64,12 @@
     std::uint64_t m_sent_sequence = 0;
     std::uint64_t m_sent_index = 0;
     std::uint64_t m_sent_digest = 0;
+    // When refreshes were last sent to this control host.
+    TimePoint m_refreshes_sent;
   };
 
   [[nodiscard]] SyncReply MakeReply(TimePoint now, bool has_quorum, Follower* follower) const;
+  [[nodiscard]] const Follower* FindControlHost(HostId host) const;
   void RemoveSilentFollowers(TimePoint now);
   void UpdateHostsDigest();
 
--- a/include/fighatch/target_monitor.h
+++ b/include/fighatch/target_monitor.h
@@ -36,12 +36,13 @@
  private:
   // True if `others` voters and this host, if it is one, are more than half of the voters.
   [[nodiscard]] bool IsMajority(std::size_t others) const;
-  [[nodiscard]] std::set<HostId> OtherVoters() const;
 
   HostId m_self;
   TargetDirectory* m_directory;
   SyncServer* m_server;
-  std::set<HostId> m_voters;
+  // The voters without this host, and whether it is one.
+  std::set<HostId> m_other_voters;
+  bool m_is_voter = false;
   bool m_log_has_quorum = false;
   bool m_had_majority = false;
 };
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -332,7 +332,7 @@
 
 void SteeringControl::HandleReply(TimePoint now, const SyncReply& reply) {
   const bool must_confirm = m_sync_client.Receive(now, reply);
-  const std::uint64_t sequence_before = m_target_directory.Sequence();
+  const std::uint64_t change_before = m_target_directory.LastChange();
   for (const TargetObservation& observation : reply.m_targets) {
     if (m_target_directory.Merge(now, observation) != AnnounceOutcome::kChanged) continue;
     LOG(INFO) << "event=target_merged target=" << std::hex << observation.m_record.m_id.m_value << std::dec
@@ -344,7 +344,7 @@
     SendTo(reply.m_from, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
            EncodeSyncRequest(m_sync_client.RequestTo(reply.m_from, 0)));
   }
-  if (m_target_directory.Sequence() != sequence_before) PushChanges();
+  if (m_target_directory.LastChange() != change_before) PushChanges();
 }
 
 void SteeringControl::PushChanges() {
--- a/src/steering/sync_server.cc
+++ b/src/steering/sync_server.cc
@@ -31,8 +31,7 @@
   RemoveSilentFollowers(now);
   std::vector<std::pair<HostId, SyncReply>> replies;
   for (auto& [host, follower] : m_followers) {
-    const bool has_targets = follower.m_sent_sequence < m_directory->Sequence() &&
-                             !m_directory->ChangedSince(now, follower.m_sent_sequence, false).empty();
+    const bool has_targets = follower.m_sent_sequence < m_directory->LastChange();
     const bool has_state =
         follower.m_role == SyncRole::kBalancer && follower.m_sent_index < m_log->Published()->m_index;
     if (has_targets || has_state) replies.emplace_back(host, MakeReply(now, has_quorum, &follower));
@@ -47,7 +46,15 @@
   reply.m_has_quorum = has_quorum;
   reply.m_after_sequence = follower->m_sent_sequence;
   reply.m_position = {m_incarnation, m_directory->Sequence()};
-  reply.m_targets = m_directory->ChangedSince(now, follower->m_sent_sequence, is_control);
+  const bool has_changes = follower->m_sent_sequence < m_directory->LastChange();
+  const bool sends_refreshes = is_control && now - follower->m_refreshes_sent >= kMinRefreshInterval;
+  if (has_changes || sends_refreshes) {
+    reply.m_targets = m_directory->ChangedSince(now, follower->m_sent_sequence, is_control);
+    if (is_control) follower->m_refreshes_sent = now;
+  } else if (is_control) {
+    // The refreshes since then are left out, so the position must not cover them.
+    reply.m_position.m_sequence = follower->m_sent_sequence;
+  }
   follower->m_sent_sequence = reply.m_position.m_sequence;
   if (!is_control && follower->m_sent_index < m_log->Published()->m_index) {
     reply.m_update = m_log->UpdateFrom(follower->m_sent_index);
@@ -82,17 +89,22 @@
   for (const auto& [recorded, sequence] : m_recorded_sequences) {
     if (now - recorded >= kContactTimeout) recent_sequence = sequence;
   }
-  return static_cast<std::size_t>(std::count_if(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
-    const Follower& follower = entry.second;
-    return hosts.contains(entry.first) && follower.m_role == SyncRole::kControl &&
-           now - follower.m_last_request < kContactTimeout && follower.m_confirmed >= recent_sequence;
+  return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](HostId host) {
+    const Follower* follower = FindControlHost(host);
+    return follower != nullptr && now - follower->m_last_request < kContactTimeout &&
+           follower->m_confirmed >= recent_sequence;
   }));
 }
 
+const SyncServer::Follower* SyncServer::FindControlHost(HostId host) const {
+  const auto found = m_followers.find(host);
+  return found != m_followers.end() && found->second.m_role == SyncRole::kControl ? &found->second : nullptr;
+}
+
 std::size_t SyncServer::CountConfirmedBy(std::uint64_t sequence, const std::set<HostId>& hosts) const {
-  return static_cast<std::size_t>(std::count_if(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
-    return hosts.contains(entry.first) && entry.second.m_role == SyncRole::kControl &&
-           entry.second.m_confirmed >= sequence;
+  return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](HostId host) {
+    const Follower* follower = FindControlHost(host);
+    return follower != nullptr && follower->m_confirmed >= sequence;
   }));
 }
 
--- a/tests/steering_sync_test.cc
+++ b/tests/steering_sync_test.cc
@@ -136,6 +136,40 @@
   EXPECT_NE(m_table.Find(MakeTarget(50).m_id), nullptr);
 }
 
+// Guards against control hosts that exchange refreshes as fast as the network allows: each confirmation was answered
+// with the announcements of the last few milliseconds, which were confirmed at once in turn.
+TEST_F(SyncTest, RefreshesAreExchangedAtABoundedRate) {
+  constexpr milliseconds kRoundTrip{3};
+  constexpr std::uint32_t kTargets = 300;
+  TargetDirectory directory;
+  RoutingLog log(&m_reader);
+  SyncServer server(HostId{1}, 5, &directory, &log);
+  SyncClient follower({HostId{2}, SyncRole::kControl, "a", 35});
+  follower.SetSeeds({HostId{1}});
+  for (std::uint32_t number = 1; number <= kTargets; ++number) (void)directory.Announce(m_now, MakeTarget(number));
+  std::size_t replies = 0;
+  std::uint64_t sequence = 1;
+  const TimePoint start = m_now;
+  TimePoint next_poll = m_now;
+  bool must_confirm = false;
+  for (; m_now < start + milliseconds(3000); m_now += kRoundTrip) {
+    AnnouncedTarget refreshed = MakeTarget(1 + static_cast<std::uint32_t>(++sequence % kTargets));
+    refreshed.m_sequence = sequence;
+    (void)directory.Announce(m_now, refreshed);
+    if (m_now >= next_poll) {
+      (void)follower.Tick(m_now, 0);
+      next_poll = m_now + milliseconds(300);
+      must_confirm = true;
+    }
+    if (!must_confirm) continue;
+    must_confirm = follower.Receive(m_now, server.Answer(m_now, follower.RequestTo(HostId{1}, 0), true));
+    ++replies;
+  }
+  EXPECT_LE(replies, 60U);
+  // Every refresh is confirmed within two polls.
+  EXPECT_GE(server.CountConfirmedBy(directory.Sequence() - 200, {HostId{2}}), 1U);
+}
+
 // Guards against a count of confirmations that includes hosts which have not confirmed the change, or which confirmed
 // it to an earlier process.
 TEST_F(SyncTest, ConfirmationsAreCounted) {
