Split three large sources of the steering daemons by job

Pure moves: which targets may get flows (cookie_steering_targets.cc), and the messages of balancer and control host. What both parts of cookie steering use stands in target_load.h; one constant moved into the class that uses it twice.

--- a/include/fighatch/forwarding_table.h
+++ b/include/fighatch/forwarding_table.h
@@ -38,8 +38,9 @@
   /// True if a keeper in the base data centre must decide on later packets without a record: the slot's keepers are in
   /// another data centre, and the slot had several owners in the base data centre.
   bool m_ask_base_keeper = false;
-  /// True if the keepers have just changed and may still miss records: the slot is in phase `kLearning`, and its keepers
-  /// before were in the data centre of `m_current`. They are asked before a flow counts as one without a record.
+  /// True if the keepers have just changed and may still miss records: the slot is in phase `kLearning`, and its
+  /// keepers before were in the data centre of `m_current`. They are asked before a flow counts as one without a
+  /// record.
   bool m_ask_former_keeper = false;
   /// True if the base data centre is cut off. Later packets without a record are dropped.
   bool m_base_cut_off = false;
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -68,6 +68,9 @@
   [[nodiscard]] bool IsReady() const;
 
  private:
+  // Receive timeout of the socket loops, which bounds the delay until they notice a stop.
+  static constexpr std::chrono::milliseconds kStopCheckInterval{500};
+
   void ServePackets();
   void HandleBatch(std::span<const io::IncomingDatagram> batch);
   void HandlePacket(TimePoint now, const io::IncomingDatagram& datagram);
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -6,36 +6,20 @@
 #include <numeric>
 #include <utility>
 
-#include "fighatch/admission_queue.h"
-#include "fighatch/hash.h"
+#include "steering/target_load.h"
 
 namespace fighatch {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Consecutive unanswered opening packets after which a target is avoided: it gets no new flows for a period.
-constexpr std::uint32_t kUnansweredLimit = 2;
-// Length of that period; it doubles with each further unanswered packet, up to the maximum.
-constexpr milliseconds kAvoidPeriod{1000};
-constexpr milliseconds kMaxAvoidPeriod{4000};
 // Weight of a new sample in the exponential moving averages of processing times.
 constexpr double kProcessingSampleWeight = 0.15;
-// A target that control hosts report as silent gets new flows for this long after it last accepted one.
-constexpr milliseconds kAcceptedProofAge{1000};
 // A target may still be sending its last packets for this long after it has deregistered.
 constexpr milliseconds kEndGracePeriod{300};
-// Consecutive unanswered opening packets, over all targets of a data centre, after which it counts as unreachable.
-constexpr std::uint32_t kDataCentreUnansweredLimit = 3;
-constexpr milliseconds kDataCentreAvoidPeriod{700};
 // A target is full at this many flows per slot. Further flows are held at the balancer, where they can still go to any
 // target.
 constexpr double kFullFlowsPerSlot = 3;
-// Held packets, and packets whose answer will miss the objective in any case, fill a target only up to this many flows
-// per slot, so that new flows find short queues.
-constexpr double kReleaseFlowsPerSlot = 1;
-// Number of flows by which the new flows to a cold target may exceed its rate limit in a short window.
-constexpr double kColdBurst = 4;
 
 SteeringDecision Refuse(SteeringAction action, ErrorCode reason) {
   SteeringDecision decision;
@@ -44,10 +28,6 @@
   return decision;
 }
 
-std::uint32_t FlowsAt(const SteeringTarget& target) { return target.m_open_flows + target.m_remote_flows; }
-
-std::uint32_t SlotsOf(const SteeringTarget& target) { return std::max<std::uint32_t>(target.m_record.m_slots, 1); }
-
 bool IsFull(const SteeringTarget& target, double unreported_flows, double flows_per_slot) {
   return FlowsAt(target) + unreported_flows >= SlotsOf(target) * flows_per_slot;
 }
@@ -66,8 +46,6 @@
   return decision;
 }
 
-double Milliseconds(Duration span) { return std::chrono::duration<double, std::milli>(span).count(); }
-
 void AddSample(double* mean, double sample) {
   *mean = *mean <= 0 ? sample : *mean + kProcessingSampleWeight * (sample - *mean);
 }
@@ -201,24 +179,6 @@
   return route.m_services.back().m_service;
 }
 
-std::vector<SteeringTarget*> CookieSteering::Candidates(TimePoint now, const std::string& service,
-                                                        const SteeringTarget* unresponsive) {
-  std::vector<SteeringTarget*> allowed;
-  for (SteeringTarget* target : m_targets.OfService(service)) {
-    if (IsOpenForNewFlows(now, *target) && IsWithinColdRate(now, *target)) allowed.push_back(target);
-  }
-  // If all targets of a service fell silent, the likeliest cause lies on the way of their announcements.
-  if (allowed.empty()) allowed = SilentCandidates(now, service);
-  std::vector<SteeringTarget*> preferred;
-  for (SteeringTarget* target : allowed) {
-    if (target != unresponsive && SeemsReachable(now, *target)) preferred.push_back(target);
-  }
-  if (!preferred.empty()) return preferred;
-  // If all targets seem unreachable, forwarding to one of them is better than refusing the flow.
-  if (!allowed.empty()) m_targets_unreachable_at = now;
-  return allowed;
-}
-
 double CookieSteering::EstimateUnreportedFlows(TimePoint now, const std::string& service, std::size_t candidates) {
   const double processing_ms = m_service_processing_ms[service];
   const double window_ms =
@@ -232,103 +192,6 @@
   return others * std::max(0.0, own - 2 * std::sqrt(own)) / static_cast<double>(candidates);
 }
 
-bool CookieSteering::IsOpenForNewFlows(TimePoint now, const SteeringTarget& target) const {
-  const RecordState state = target.m_record.m_state;
-  const bool accepts_flows = state == RecordState::kSilent && now - target.m_last_accepted < kAcceptedProofAge;
-  return (state == RecordState::kReady || accepts_flows) && !target.m_superseded &&
-         !m_state.m_data_centres_out.contains(target.m_record.m_data_centre);
-}
-
-std::vector<SteeringTarget*> CookieSteering::SilentCandidates(TimePoint now, const std::string& service) const {
-  std::vector<SteeringTarget*> candidates;
-  for (SteeringTarget* target : m_targets.OfService(service)) {
-    const bool may_answer = target->m_record.m_state == RecordState::kSilent && !target->m_superseded &&
-                            !m_state.m_data_centres_out.contains(target->m_record.m_data_centre) &&
-                            SeemsReachable(now, *target) && IsWithinColdRate(now, *target);
-    if (may_answer) candidates.push_back(target);
-  }
-  return candidates;
-}
-
-double CookieSteering::OwnShare(TimePoint now, double (*amount)(const SteeringTarget& target)) const {
-  double sum = 0;
-  for (const auto& [id, target] : m_targets.All()) {
-    if (IsOpenForNewFlows(now, target) && SeemsReachable(now, target)) sum += amount(target);
-  }
-  return sum / static_cast<double>(std::max<std::size_t>(m_balancers.size(), 1));
-}
-
-std::size_t CookieSteering::ReleaseBudget(TimePoint now) const {
-  const double room = OwnShare(now, [](const SteeringTarget& target) {
-    return std::max(0.0, SlotsOf(target) * kReleaseFlowsPerSlot - FlowsAt(target));
-  });
-  const auto budget = static_cast<std::size_t>(std::ceil(room));
-  // Some of the other balancers may not be known yet, so that this one's share may be overestimated.
-  return now < m_learning_until ? std::min<std::size_t>(budget, 1) : budget;
-}
-
-std::size_t CookieSteering::WaitingLimit(TimePoint now) const {
-  if (m_state.m_index == 0 || now < m_learning_until) return AdmissionQueue::kMaxPackets;
-  const double served_per_ms = OwnShare(now, [](const SteeringTarget& target) {
-    return SlotsOf(target) / (target.m_processing_ms > 0 ? target.m_processing_ms : kDefaultProcessingMs);
-  });
-  const double limit = served_per_ms * Milliseconds(AdmissionQueue::kMaxWait);
-  return static_cast<std::size_t>(std::clamp<double>(limit, 1, AdmissionQueue::kMaxPackets));
-}
-
-bool CookieSteering::DataCentreSeemsReachable(TimePoint now, const std::string& name) const {
-  const auto found = m_data_centres.find(name);
-  if (found == m_data_centres.end() || found->second.m_unanswered < kDataCentreUnansweredLimit) return true;
-  return now >= found->second.m_avoid_until;
-}
-
-void CookieSteering::ResetUnanswered() {
-  m_data_centres.clear();
-  m_targets_unreachable_at.reset();
-  for (auto& [id, target] : m_targets.All()) RecordAnswered(&target);
-}
-
-bool CookieSteering::SeemsReachable(TimePoint now, const SteeringTarget& target) const {
-  if (!DataCentreSeemsReachable(now, target.m_record.m_data_centre)) return false;
-  if (target.m_unanswered < kUnansweredLimit) return true;
-  // After the avoidance period one flow at a time probes whether the target answers again.
-  return now >= target.m_avoid_until && target.m_opening_flows == 0;
-}
-
-std::uint32_t CookieSteering::ColdRateSharers(const ServicePolicy& policy) const {
-  // Each balancer may send one flow ahead of its rate, so only as many balancers take part as the limit allows for.
-  const double room = policy.m_cold_flows_per_second / 2 + kColdBurst;
-  const std::size_t balancers = std::max<std::size_t>(m_balancers.size(), 1);
-  return static_cast<std::uint32_t>(std::clamp<double>(room, 1, static_cast<double>(balancers)));
-}
-
-bool CookieSteering::IsWithinColdRate(TimePoint now, const SteeringTarget& target) const {
-  if (target.m_cold_until <= now) return true;
-  const auto policy = m_state.m_routing.m_services.find(target.m_record.m_service);
-  if (policy == m_state.m_routing.m_services.end() || policy->second.m_cold_flows_per_second <= 0) return true;
-  if (now < target.m_next_cold_flow) return false;
-  // The balancers that rank first for the target by rendezvous hashing share its rate.
-  const auto rank = [&target](HostId host) { return MixHash(target.m_record.m_id.m_value, host.m_value); };
-  const auto ahead = std::count_if(m_balancers.begin(), m_balancers.end(),
-                                   [&](HostId host) { return rank(host) < rank(m_options.m_self); });
-  return static_cast<std::uint32_t>(ahead) < ColdRateSharers(policy->second);
-}
-
-void CookieSteering::RecordUnanswered(TimePoint now, SteeringTarget* target) {
-  DataCentreHealth& health = m_data_centres[target->m_record.m_data_centre];
-  if (++health.m_unanswered >= kDataCentreUnansweredLimit) health.m_avoid_until = now + kDataCentreAvoidPeriod;
-  ++target->m_unanswered;
-  if (target->m_unanswered < kUnansweredLimit) return;
-  const auto doublings = std::min<std::uint32_t>(target->m_unanswered - kUnansweredLimit, 2);
-  target->m_avoid_until = now + std::min(kAvoidPeriod * (1U << doublings), kMaxAvoidPeriod);
-}
-
-void CookieSteering::RecordAnswered(SteeringTarget* target) {
-  m_data_centres[target->m_record.m_data_centre] = {};
-  target->m_unanswered = 0;
-  target->m_avoid_until = {};
-}
-
 void CookieSteering::SetCountsAsLoad(PlacedFlow* flow, bool counts_as_load) {
   if (flow->m_counts_as_load == counts_as_load) return;
   flow->m_counts_as_load = counts_as_load;
