--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -17,6 +17,8 @@
 DRAIN_LIMIT_S = 3.0
 # Rules with a time limit apply only if no fault has happened for at least this long.
 SETTLE_S = 4.0
+# Share of the documents that are large.
+LARGE_DOCUMENT_SHARE = 0.15
 
 
 def address_to_int(address):
@@ -255,6 +257,10 @@
     def make_document(self, version):
         routes = [{"Name": f"r{port}", "Host": self.public, "PathPrefix": f"/{port}/", "Type": "safe",
                    "TimeoutMs": 1000 + version, "Service": service} for port, service in self.service_of_route.items()]
+        # Some documents carry so many routes without traffic that their log entries exceed 256 KiB.
+        idle_routes = random.randrange(3000, 9000) if random.random() < LARGE_DOCUMENT_SHARE else 0
+        routes += [{"Name": f"idle{number}", "Host": f"198.18.{number >> 8}.{number & 255}", "PathPrefix": "/443/",
+                    "Type": "safe", "TimeoutMs": 1000, "Service": "desk"} for number in range(256, 256 + idle_routes)]
         services = [{"Name": name, "ColdPerS": 0.0} for name in ("desk", "vault")]
         return json.dumps({"Version": version, "Routes": routes, "Services": services})
 
