Keep a control host up while its disk is full

Cause: a write to a full disk failed, the storage counted as unknown, and the process ended after a second; it ended again at each start until there was room.

Change: an append or a file that the disk has no room for is undone (kStorageFull), so that the storage stays usable. The fiber of the log repeats the write every 200 ms and does nothing else: no heartbeat is sent, the leases end, others lead, and nothing is acknowledged that is not stored. The host goes on to serve targets and balancers. Other failures of a disk end the process as before.

--- a/include/fighatch/error.h
+++ b/include/fighatch/error.h
@@ -79,6 +79,7 @@
   kConsensusNotMember = 6006,
   kStorageUnreadable = 6007,
   kStorageEntryTooLarge = 6008,
+  kStorageFull = 6009,
 
   kAnnouncementMalformed = 7001,
   kAnnouncementForged = 7002,
--- a/include/fighatch/file_log_storage.h
+++ b/include/fighatch/file_log_storage.h
@@ -92,8 +92,11 @@
   [[nodiscard]] Status RemoveAllSegments();
   [[nodiscard]] Status DoAppend(std::span<const LogEntry> entries);
   [[nodiscard]] Status DoSaveSnapshot(const RaftSnapshot& snapshot, LogIndex keep_from);
-  // Records an error, so that all further writes fail: the content of the files after a failed write is unknown.
+  // Records an error, so that all further writes fail: the content of the files after a failed write is unknown. A disk
+  // without room is not recorded, since those writes are undone.
   [[nodiscard]] Status LatchError(Status status);
+  // Removes what a failed append to the last segment may have written.
+  [[nodiscard]] Status UndoAppend(bool is_new, const Segment& before);
 
   StorageDirectory* m_directory;
   std::size_t m_segment_bytes;
--- a/include/fighatch/log_storage.h
+++ b/include/fighatch/log_storage.h
@@ -50,9 +50,10 @@
 };
 
 /// Persistent storage of the Raft log, vote and snapshot of one host. A call returns success only after the data is
-/// synced. After a failed write all further calls fail, and the process must stop.
+/// synced. After a failed write all further calls fail, and the process must stop. The exception is `kStorageFull`: the
+/// write was undone, and the call may be repeated.
 ///
-/// Errors: `kStorageIo`, `kStorageSyncFailed`.
+/// Errors: `kStorageIo`, `kStorageSyncFailed`, `kStorageFull`.
 class LogStorage {
  public:
   virtual ~LogStorage() = default;
--- a/include/fighatch/storage_directory.h
+++ b/include/fighatch/storage_directory.h
@@ -11,7 +11,8 @@
 namespace fighatch {
 
 /// Interface to the files of one flat folder, on which durable storage is built. Data that was not synced may be lost
-/// or partly written after a crash. Errors: `kStorageIo` from any call; `kStorageSyncFailed` from the two sync calls.
+/// or partly written after a crash. Errors: `kStorageIo` from any call; `kStorageSyncFailed` from the two sync calls;
+/// `kStorageFull` from `Append`, which may have written a part of the bytes.
 class StorageDirectory {
  public:
   virtual ~StorageDirectory() = default;
--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -74,6 +74,7 @@
     {ErrorCode::kStorageUnreadable, "storage_unreadable",
      "the checksum is right, but this program cannot read the content; another release wrote it"},
     {ErrorCode::kStorageEntryTooLarge, "storage_entry_too_large", "a log entry is larger than the limit; not written"},
+    {ErrorCode::kStorageFull, "storage_full", "the disk has no room; the write was undone and may be repeated"},
     {ErrorCode::kAnnouncementMalformed, "announcement_malformed",
      "the announcement does not parse; the detail names the field"},
     {ErrorCode::kAnnouncementForged, "announcement_forged", "the signature of the announcement does not match"},
--- a/src/consensus/file_log_storage.cc
+++ b/src/consensus/file_log_storage.cc
@@ -274,10 +274,27 @@
 }
 
 Status FileLogStorage::LatchError(Status status) {
-  if (!IsOk(status)) m_status = status;
+  if (!IsOk(status) && ErrorOf(status).m_code != ErrorCode::kStorageFull) m_status = status;
   return status;
 }
 
+Status FileLogStorage::UndoAppend(bool is_new, const Segment& before) {
+  const std::string name = SegmentName(m_segments.back().m_first_batch);
+  const Result<std::vector<std::string>> names = m_directory->List();
+  if (!IsOk(names)) return ErrorOf(names);
+  if (Contains(ValueOf(names), name)) {
+    Status undone = is_new ? m_directory->Remove(name) : m_directory->Truncate(name, before.m_bytes);
+    if (!IsOk(undone)) return undone;
+  }
+  --m_last_batch;
+  if (is_new) {
+    m_segments.pop_back();
+  } else {
+    m_segments.back() = before;
+  }
+  return OkStatus();
+}
+
 Status FileLogStorage::SaveVote(const RaftVote& vote) {
   return IsOk(m_status) ? LatchError(ReplaceFile(m_directory, kVoteFile, vote)) : m_status;
 }
@@ -294,10 +311,16 @@
   const std::string bytes = EncodeBatch(entries, ++m_last_batch);
   if (is_new) m_segments.push_back({m_last_batch, 0, 0});
   Segment& segment = m_segments.back();
+  const Segment before = segment;
   const std::string name = SegmentName(segment.m_first_batch);
   segment.m_bytes += bytes.size();
   segment.m_highest = std::max(segment.m_highest, entries.back().m_index);
-  return RunUntilError([&] { return m_directory->Append(name, bytes); }, [&] { return m_directory->SyncFile(name); },
+  Status written = m_directory->Append(name, bytes);
+  if (!IsOk(written) && ErrorOf(written).m_code == ErrorCode::kStorageFull) {
+    Status undone = UndoAppend(is_new, before);
+    return IsOk(undone) ? written : undone;
+  }
+  return RunUntilError([&] { return written; }, [&] { return m_directory->SyncFile(name); },
                        [&] { return is_new ? m_directory->SyncFolder() : OkStatus(); });
 }
 
--- a/src/daemon/log_replica.cc
+++ b/src/daemon/log_replica.cc
@@ -25,11 +25,10 @@
   return !output.m_vote && !output.m_snapshot && output.m_entries.empty();
 }
 
-[[noreturn]] void ExitOnStorageError() {
-  google::FlushLogFiles(google::INFO);
-  usleep(static_cast<useconds_t>(std::chrono::microseconds(kStorageExitDelay).count()));
-  _exit(kStorageExitCode);
-}
+// Interval at which a write is repeated while the disk has no room.
+constexpr std::chrono::milliseconds kStorageRetryInterval{200};
+// Inputs that wait meanwhile; later ones are dropped, since the senders repeat them.
+constexpr std::size_t kMaxInputs = 8192;
 
 }  // namespace
 
@@ -65,6 +64,7 @@
 }
 
 void LogReplica::Enqueue(Input input) {
+  if (m_inputs.size() >= kMaxInputs) return;
   m_inputs.push_back(std::move(input));
   m_input_added.notify_one();
 }
@@ -115,18 +115,42 @@
   m_input_added.wait_until(lock, steady_clock::now() + (m_node.NextDeadline() - Now()));
 }
 
-void LogReplica::PersistOrExit(const std::function<Status()>& write) {
+void LogReplica::ExitOnStorageError(const Error& error) {
+  LOG(ERROR) << "event=storage_failed " << ToString(error) << " next=\"the process stops\"";
+  google::FlushLogFiles(google::INFO);
+  usleep(static_cast<useconds_t>(std::chrono::microseconds(kStorageExitDelay).count()));
+  _exit(kStorageExitCode);
+}
+
+Status LogReplica::PersistOnce(const std::function<Status()>& write) {
   const auto started = steady_clock::now();
-  const Status status = m_worker.Run(write);
+  Status status = m_worker.Run(write);
   m_persist_latency.Add(steady_clock::now() - started);
+  return status;
+}
+
+void LogReplica::PersistOrExit(const std::function<Status()>& write) {
+  Status status = PersistOnce(write);
   if (IsOk(status)) return;
-  LOG(ERROR) << "event=storage_failed " << ToString(ErrorOf(status)) << " next=\"the process stops\"";
-  ExitOnStorageError();
+  if (ErrorOf(status).m_code != ErrorCode::kStorageFull) ExitOnStorageError(ErrorOf(status));
+  LOG(ERROR) << "event=storage_full " << ToString(ErrorOf(status))
+             << " next=\"this host takes no part in the group until there is room\"";
+  while (!IsOk(status) && ErrorOf(status).m_code == ErrorCode::kStorageFull && !m_stopping) {
+    boost::this_fiber::sleep_for(kStorageRetryInterval);
+    status = PersistOnce(write);
+  }
+  if (IsOk(status)) {
+    LOG(INFO) << "event=storage_has_room";
+  } else if (!m_stopping) {
+    ExitOnStorageError(ErrorOf(status));
+  }
 }
 
 void LogReplica::Step() {
   const RaftOutput output = m_node.TakeOutput();
   if (!NothingToPersist(output)) PersistOrExit([this, &output] { return Persist(output, m_storage); });
+  // A stop while the disk has no room: nothing may be sent or applied that is not persisted.
+  if (m_stopping && !NothingToPersist(output)) return;
   for (const RaftMessage& message : output.m_messages) {
     m_transport->Send(message.m_to.m_host, EncodeRaftMessage(message));
   }
@@ -142,8 +166,8 @@
   const Status status = m_state_machine->Restore(std::as_bytes(std::span(snapshot.m_data)));
   if (!IsOk(status)) {
     // The checksum is valid, so another release wrote the snapshot in a format that this one cannot read.
-    LOG(ERROR) << "event=snapshot_refused " << ToString(ErrorOf(status)) << " next=\"run the newer release\"";
-    ExitOnStorageError();
+    LOG(ERROR) << "event=snapshot_refused next=\"run the newer release\"";
+    ExitOnStorageError(ErrorOf(status));
   }
   m_applied = snapshot.m_index;
   m_snapshot_index = snapshot.m_index;
@@ -186,7 +210,14 @@
   if (!snapshot) return;
   m_snapshot_index = m_applied;
   m_bytes_since_snapshot = 0;
-  PersistOrExit([&, kept = keep_from, saved = snapshot] { return m_storage->SaveSnapshot(*saved, kept); });
+  const Status status =
+      PersistOnce([&, kept = keep_from, saved = snapshot] { return m_storage->SaveSnapshot(*saved, kept); });
+  if (!IsOk(status) && ErrorOf(status).m_code != ErrorCode::kStorageFull) ExitOnStorageError(ErrorOf(status));
+  if (!IsOk(status)) {
+    // The log on the disk stays whole; the next snapshot replaces it.
+    LOG(WARNING) << "event=snapshot_not_saved index=" << snapshot->m_index << " " << ToString(ErrorOf(status));
+    return;
+  }
   LOG(INFO) << "event=snapshot_saved index=" << snapshot->m_index << " bytes=" << snapshot->m_data.size();
 }
 
--- a/src/daemon/log_replica.h
+++ b/src/daemon/log_replica.h
@@ -37,7 +37,8 @@
 
 /// Runs the `RaftNode` of a control host and the `ReplicatedStateMachine` behind it. One fiber owns both: it processes
 /// all queued inputs, persists the output with one sync on a worker thread, and then sends the messages and applies the
-/// committed entries. A storage error ends the process.
+/// committed entries. A storage error ends the process. While the disk has no room the fiber repeats the write and does
+/// nothing else: the host sends nothing, its leases end, and the others go on without it.
 class LogReplica {
  public:
   /// Called after the replay at the start, and after each step that applied entries or restored a snapshot.
@@ -97,6 +98,8 @@
   void Replay();
   void Step();
   void PersistOrExit(const std::function<Status()>& write);
+  [[nodiscard]] Status PersistOnce(const std::function<Status()>& write);
+  [[noreturn]] static void ExitOnStorageError(const Error& error);
   void Restore(const RaftSnapshot& snapshot);
   void Apply(const LogEntry& entry);
   void CompletePending(const LogEntry& entry, const std::any& result);
--- a/src/io/posix_directory.cc
+++ b/src/io/posix_directory.cc
@@ -17,6 +17,13 @@
 
 constexpr mode_t kFileMode = 0600;
 
+bool IsOutOfSpace(int error) { return error == ENOSPC || error == EDQUOT; }
+
+Error WriteError(const std::string& what) {
+  const ErrorCode code = IsOutOfSpace(errno) ? ErrorCode::kStorageFull : ErrorCode::kStorageIo;
+  return MakeError(code, what + ": " + strerror(errno));
+}
+
 Error IoError(const std::string& what, ErrorCode code = ErrorCode::kStorageIo) {
   return MakeError(code, what + ": " + strerror(errno));
 }
@@ -68,7 +75,7 @@
   m_append_file = FileDescriptor(
       openat(m_folder.Get(), name.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC | O_NOFOLLOW, kFileMode));
   m_append_file_name = name;
-  return m_append_file.IsOpen() ? OkStatus() : Status(IoError("open " + name));
+  return m_append_file.IsOpen() ? OkStatus() : Status(WriteError("open " + name));
 }
 
 // Closes the append file if it has this name, since a rename or removal is about to make the descriptor stale.
@@ -81,7 +88,7 @@
   while (IsOk(status) && !bytes.empty()) {
     const ssize_t count = write(m_append_file.Get(), bytes.data(), bytes.size());
     if (count < 0 && errno == EINTR) continue;
-    if (count <= 0) return IoError("write " + name);
+    if (count <= 0) return WriteError("write " + name);
     bytes.remove_prefix(static_cast<std::size_t>(count));
   }
   return status;
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -81,5 +81,33 @@
   replica.Stop();
 }
 
+// Guards against a control host that ends because its disk is full, and against one that accepts what it cannot store.
+// It takes part again when there is room.
+TEST(LogReplicaTest, FullDiskSuspendsTheHostWithoutEndingIt) {
+  const io::Reactor reactor;
+  testing_support::MemoryDirectory directory(1);
+  ASSERT_TRUE(IsOk(FileLogStorage::Format(&directory, {kSelf, {{{kSelf, true}}, {}}})));
+  auto storage = FileLogStorage::Open(&directory, kSelf.m_host);
+  ASSERT_TRUE(IsOk(storage));
+  LogReplicaOptions options;
+  options.m_submit_timeout = milliseconds(500);
+  NoState machine;
+  VotingPeer peer;
+  LogReplica replica(options, ValueOf(storage).get(), ValueOf(storage)->TakeStored(), &machine, &peer);
+  replica.Start([] {});
+  while (replica.Node().Role() != RaftRole::kLeader) boost::this_fiber::sleep_for(milliseconds(5));
+  EXPECT_TRUE(IsOk(replica.Submit("before")));
+  const LogIndex applied = replica.AppliedIndex();
+  directory.SetFull(true);
+  const Result<std::any> refused = replica.Submit("meanwhile");
+  ASSERT_FALSE(IsOk(refused));
+  EXPECT_EQ(ErrorOf(refused).m_code, ErrorCode::kTicketOutcomeUnknown);
+  EXPECT_EQ(replica.AppliedIndex(), applied);
+  directory.SetFull(false);
+  boost::this_fiber::sleep_for(milliseconds(500));
+  EXPECT_TRUE(IsOk(replica.Submit("after")));
+  replica.Stop();
+}
+
 }  // namespace
 }  // namespace fighatch::daemon
--- a/tests/memory_directory.h
+++ b/tests/memory_directory.h
@@ -1,6 +1,7 @@
 #ifndef FIGHATCH_TESTS_MEMORY_DIRECTORY_H_
 #define FIGHATCH_TESTS_MEMORY_DIRECTORY_H_
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -24,6 +25,8 @@
   /// Simulates a crash after `calls` more modifying calls: the next one may take partial effect and fails, and all
   /// calls after it fail. Without a value no crash is simulated.
   void CrashAfter(std::optional<std::uint64_t> calls) { m_calls_left = calls; }
+  /// While set, the disk has no room: an append writes a part of its bytes and fails with `kStorageFull`.
+  void SetFull(bool full) { m_is_full = full; }
   /// Makes the next sync fail.
   void FailNextSync() { m_fail_sync = true; }
   [[nodiscard]] bool HasCrashed() const { return m_crashed; }
@@ -59,6 +62,10 @@
     if (!m_names.contains(name)) {
       ChangeNames([name, file = std::make_shared<File>()](Names* names) { (*names)[name] = file; });
     }
+    if (m_is_full) {
+      m_names.at(name)->m_content += bytes.substr(0, m_random.Below(bytes.size() + 1));
+      return MakeError(ErrorCode::kStorageFull, name);
+    }
     m_names.at(name)->m_content += stops ? bytes.substr(0, m_random.Below(bytes.size() + 1)) : bytes;
     return stops ? Crashed() : OkStatus();
   }
@@ -140,6 +147,7 @@
   std::uint64_t m_calls = 0;
   bool m_crashed = false;
   bool m_fail_sync = false;
+  std::atomic<bool> m_is_full = false;
 };
 
 }  // namespace fighatch::testing_support
--- a/tests/storage_log_test.cc
+++ b/tests/storage_log_test.cc
@@ -320,6 +320,30 @@
   EXPECT_EQ(ErrorOf(storage->SaveVote({1, {}})).m_code, ErrorCode::kStorageSyncFailed);
 }
 
+// Guards against a log that is damaged, or a storage that is given up, because the disk had no room for a while: every
+// kind of write is refused without effect and succeeds once there is room, also at the start of a segment.
+TEST_F(StorageLogTest, WriteToFullDiskIsUndoneAndCanBeRepeated) {
+  const auto storage = Open();
+  const RaftVote vote{4, {kHost, {5}}};
+  for (LogIndex index = 1; index <= 30; ++index) {
+    const std::vector<LogEntry> entries{Entry(index, 1)};
+    m_directory.SetFull(true);
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      EXPECT_EQ(ErrorOf(storage->Append(entries)).m_code, ErrorCode::kStorageFull);
+      EXPECT_EQ(ErrorOf(storage->SaveVote(vote)).m_code, ErrorCode::kStorageFull);
+      EXPECT_EQ(ErrorOf(storage->SaveSnapshot({index, 1, {}, "state"}, 0)).m_code, ErrorCode::kStorageFull);
+    }
+    m_directory.SetFull(false);
+    ASSERT_TRUE(IsOk(storage->Append(entries)));
+  }
+  ASSERT_TRUE(IsOk(storage->SaveVote(vote)));
+  m_directory.Restart();
+  const StoredLog stored = Open()->TakeStored();
+  EXPECT_EQ(stored.m_vote, vote);
+  ASSERT_EQ(stored.m_entries.size(), 30U);
+  EXPECT_EQ(stored.m_entries.back(), Entry(30, 1));
+}
+
 // Guards against using the folder of another host.
 TEST_F(StorageLogTest, RefusesAnotherHostsFolder) {
   const auto opened = FileLogStorage::Open(&m_directory, HostId{8});
