--- a/tests/storage_log_test.cc
+++ b/tests/storage_log_test.cc
@@ -281,7 +281,7 @@
 TEST_F(StorageLogTest, StoresRepetitiveTextCompressed) {
   std::string text;
   for (int route = 0; route < 3000; ++route) {
-    text += R"({"Host":"198.18.0.)" + std::to_string(route) + R"(","PathPrefix":"/8443/","Service":"desk"},)";
+    text += R"({"address":"198.18.0.)" + std::to_string(route) + R"(","port":8443,"service":"desk"},)";
   }
   const std::string batch = EncodeBatch(std::vector<LogEntry>{{1, 1, EntryKind::kPayload, text}}, 1);
   EXPECT_LT(batch.size() * 4, text.size());
