Bound the cost of pushing changes to followers

Cause: each change of a target was pushed to every follower at once. While 3,000 targets announce themselves for the first time to 5 control hosts with 300 balancers, pushes alone exceed the processor share of a control host.

Change: a change that comes alone is pushed at once; after a push the loop pauses for 0.5 ms for each follower, and what came meanwhile goes out together.

--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -154,11 +154,12 @@
             << " commit=" << m_log_replica->Node().CommitIndex() << " last=" << m_log_replica->Node().Log().LastIndex()
             << " seeds=" << discovery.m_seeds.size();
   LOG(WARNING) << "event=unsealed_messages meaning=\"messages between hosts carry no key, as the settings say\"";
-  m_log_replica->Start([this] { PushChanges(); });
+  m_log_replica->Start([this] { RequestPush(); });
   std::vector<boost::fibers::fiber> fibers;
   fibers.emplace_back([this] { ServeMessages(); });
   fibers.emplace_back([this] { PollOtherControlHosts(); });
   fibers.emplace_back([this] { SaveRestartState(); });
+  fibers.emplace_back([this] { ServePushes(); });
   fibers.emplace_back([this] { m_http_server->Serve(); });
   if (m_metrics_server) fibers.emplace_back([this] { m_metrics_server->Serve(); });
   while (!stop->Wait(io::kNoDeadline)) {
@@ -230,7 +231,7 @@
 Status SteeringControl::Announce(const AnnouncedTarget& record) {
   ++m_counters.m_announcements;
   const AnnounceOutcome outcome = m_target_directory.Announce(LogReplica::Now(), record);
-  if (outcome == AnnounceOutcome::kChanged) PushChanges();
+  if (outcome == AnnounceOutcome::kChanged) RequestPush();
   Status status = AwaitConfirmation(record.m_id, record.m_state != RecordState::kReady);
   if (!IsOk(status)) ++m_counters.m_announcements_refused;
   if ((outcome == AnnounceOutcome::kChanged || !IsOk(status)) && m_log_line_budget.Allow()) {
@@ -247,7 +248,7 @@
 Status SteeringControl::Withdraw(TargetId id, std::optional<std::uint64_t> start_unix_ms) {
   ++m_counters.m_announcements;
   const AnnounceOutcome outcome = m_target_directory.Withdraw(LogReplica::Now(), id, start_unix_ms);
-  if (outcome == AnnounceOutcome::kChanged) PushChanges();
+  if (outcome == AnnounceOutcome::kChanged) RequestPush();
   Status status = AwaitConfirmation(id, true);
   LOG(INFO) << "event=target_withdrawn target=" << std::hex << id.m_value << std::dec
             << " changed=" << (outcome == AnnounceOutcome::kChanged)
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -107,6 +107,9 @@
   void HandleRequest(TimePoint now, const SyncRequest& request);
   void HandleReply(TimePoint now, const SyncReply& reply);
   void PollOtherControlHosts();
+  // Has the push loop send changes to all followers that lack them.
+  void RequestPush();
+  void ServePushes();
   void PushChanges();
   void UpdateControlHosts();
   void UpdateTargets(TimePoint now);
@@ -150,6 +153,8 @@
   Receiver m_raft_receiver;
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_confirmed;
+  boost::fibers::condition_variable m_push_wakeup;
+  bool m_push_requested = false;
   bool m_had_majority = false;
   bool m_done = false;
 };
--- a/src/daemon/steering_control_messages.cc
+++ b/src/daemon/steering_control_messages.cc
@@ -18,6 +18,9 @@
 // Intervals between requests to the other control hosts: without contact to a majority, and with it.
 constexpr milliseconds kFastPollInterval{100};
 constexpr milliseconds kRegularPollInterval{300};
+// Pause after a push for each follower: a change that comes alone is pushed at once, and many changes in a row cost a
+// bounded share of the processor, whatever the number of followers.
+constexpr std::chrono::microseconds kPushIntervalPerFollower{500};
 
 }  // namespace
 
@@ -89,7 +92,24 @@
     SendTo(reply.m_from, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
            EncodeSyncRequest(m_sync_client.RequestTo(reply.m_from, 0)));
   }
-  if (m_target_directory.LastChange() != change_before) PushChanges();
+  if (m_target_directory.LastChange() != change_before) RequestPush();
+}
+
+void SteeringControl::RequestPush() {
+  m_push_requested = true;
+  m_push_wakeup.notify_one();
+}
+
+void SteeringControl::ServePushes() {
+  while (!m_done) {
+    {
+      std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+      m_push_wakeup.wait_until(lock, steady_clock::now() + kStopCheckInterval, [this] { return m_push_requested; });
+    }
+    if (!std::exchange(m_push_requested, false)) continue;
+    PushChanges();
+    boost::this_fiber::sleep_for(kPushIntervalPerFollower * m_sync_server.FollowerCount());
+  }
 }
 
 void SteeringControl::PushChanges() {
@@ -143,7 +163,7 @@
               << " targets=" << m_target_directory.Size();
     m_had_majority = has_majority;
   }
-  if (has_majority) PushChanges();
+  if (has_majority) RequestPush();
 }
 
 }  // namespace fighatch::daemon
