--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -90,6 +90,7 @@
 #include "fighatch/target_directory.h"
 #include "fighatch/target_facts.h"
 #include "fighatch/target_health.h"
+#include "fighatch/target_monitor.h"
 #include "fighatch/target_picker.h"
 #include "fighatch/target_registry.h"
 #include "fighatch/target_table.h"
--- a/include/fighatch/forward.h
+++ b/include/fighatch/forward.h
@@ -185,6 +185,7 @@
 class TargetHealth;
 struct TargetInfo;
 struct TargetLoad;
+class TargetMonitor;
 class TargetPicker;
 struct TargetRecord;
 struct TargetRefresh;
--- a/scripts/lib/capacity_sweep.py
+++ b/scripts/lib/capacity_sweep.py
@@ -8,7 +8,7 @@
 import re
 
 # Journal entries of sweeps of the large site: the first one is the state before, the last one the present.
-SWEEPS_LARGE = ["20261204T155331-478a5847.json", "20261204T154651-aa74470d.json"]
+SWEEPS_LARGE = ["20261204T155331-478a5847.json", "20261204T161128-578e5e91.json"]
 # Mechanism that carries a row today, and what the row needs at the planned size. Rows without one do not grow or are not
 # bounded.
 MECHANISMS = {
