Divide the daemons' folder by role

Cause: src/daemon held 66 files of three jobs, and the balancer daemon included the replica of the control host for its clock only. Change: src/balancer and src/control take the daemons, src/daemon keeps what both share; the clock becomes a function of its own. No behaviour changes.

--- a/bench/consensus.cc
+++ b/bench/consensus.cc
@@ -18,8 +18,8 @@
 #include <thread>
 #include <vector>
 
-#include "daemon/control_replica.h"
-#include "daemon/control_storage.h"
+#include "control/control_replica.h"
+#include "control/control_storage.h"
 #include "daemon/sealed_message_transport.h"
 #include "fighatch/state_delta.h"
 #include "io/reactor.h"
--- a/bench/forwarding.cc
+++ b/bench/forwarding.cc
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "daemon/data_plane.h"
+#include "balancer/data_plane.h"
 #include "fighatch/inner_packet.h"
 #include "flow_fixture.h"
 #include "forwarding_harness.h"
--- a/bench/forwarding_harness.h
+++ b/bench/forwarding_harness.h
@@ -15,7 +15,7 @@
 #include <type_traits>
 #include <vector>
 
-#include "daemon/packet_receiver.h"
+#include "balancer/packet_receiver.h"
 #include "fighatch/gue.h"
 #include "io/reactor.h"
 #include "io/udp_socket.h"
--- a/programs/balancer/balancer.h
+++ b/programs/balancer/balancer.h
@@ -4,12 +4,12 @@
 #include <memory>
 #include <optional>
 
+#include "balancer/control_loop.h"
+#include "balancer/data_plane.h"
+#include "balancer/request_driver.h"
+#include "balancer/state_follower.h"
 #include "balancer_settings.h"
-#include "daemon/control_loop.h"
-#include "daemon/data_plane.h"
 #include "daemon/peer_links.h"
-#include "daemon/request_driver.h"
-#include "daemon/state_follower.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/file_store.h"
 #include "io/http_server.h"
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -7,10 +7,10 @@
 #include <nlohmann/json.hpp>
 
 #include "config/control_settings.h"
-#include "daemon/control_http.h"
-#include "daemon/control_metrics.h"
-#include "daemon/control_replica.h"
-#include "daemon/control_storage.h"
+#include "control/control_http.h"
+#include "control/control_metrics.h"
+#include "control/control_replica.h"
+#include "control/control_storage.h"
 #include "daemon/http_authenticator.h"
 #include "daemon/operator_key.h"
 #include "daemon/program.h"
--- a/src/daemon/control_loop.cc
+++ b/src/balancer/control_loop.cc
@@ -1,4 +1,4 @@
-#include "daemon/control_loop.h"
+#include "balancer/control_loop.h"
 
 #include <glog/logging.h>
 
--- a/src/daemon/control_loop.h
+++ b/src/balancer/control_loop.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_CONTROL_LOOP_H_
-#define FIGHATCH_DAEMON_CONTROL_LOOP_H_
+#ifndef FIGHATCH_BALANCER_CONTROL_LOOP_H_
+#define FIGHATCH_BALANCER_CONTROL_LOOP_H_
 
 #include <chrono>
 #include <cstdint>
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "daemon/coordinator_resync.h"
-#include "daemon/data_plane.h"
+#include "balancer/coordinator_resync.h"
+#include "balancer/data_plane.h"
+#include "balancer/reachability.h"
+#include "balancer/request_driver.h"
 #include "daemon/peer_links.h"
-#include "daemon/reachability.h"
-#include "daemon/request_driver.h"
 #include "fighatch/allowance_holder.h"
 #include "fighatch/coordinator.h"
 #include "fighatch/membership.h"
@@ -181,4 +181,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_CONTROL_LOOP_H_
+#endif  // FIGHATCH_BALANCER_CONTROL_LOOP_H_
--- a/src/daemon/control_loop_messages.cc
+++ b/src/balancer/control_loop_messages.cc
@@ -6,7 +6,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <utility>
 
-#include "daemon/control_loop.h"
+#include "balancer/control_loop.h"
 #include "io/http_client.h"
 #include "wire/codec.h"
 
--- a/src/daemon/control_loop_tables.cc
+++ b/src/balancer/control_loop_tables.cc
@@ -7,7 +7,7 @@
 #include <set>
 #include <utility>
 
-#include "daemon/control_loop.h"
+#include "balancer/control_loop.h"
 #include "wire/codec.h"
 
 namespace fighatch::daemon {
--- a/src/daemon/coordinator_resync.cc
+++ b/src/balancer/coordinator_resync.cc
@@ -1,4 +1,4 @@
-#include "daemon/coordinator_resync.h"
+#include "balancer/coordinator_resync.h"
 
 #include <chrono>
 
--- a/src/daemon/coordinator_resync.h
+++ b/src/balancer/coordinator_resync.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_COORDINATOR_RESYNC_H_
-#define FIGHATCH_DAEMON_COORDINATOR_RESYNC_H_
+#ifndef FIGHATCH_BALANCER_COORDINATOR_RESYNC_H_
+#define FIGHATCH_BALANCER_COORDINATOR_RESYNC_H_
 
 #include "fighatch/ids.h"
 #include "fighatch/time.h"
@@ -25,4 +25,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_COORDINATOR_RESYNC_H_
+#endif  // FIGHATCH_BALANCER_COORDINATOR_RESYNC_H_
--- a/src/daemon/data_plane.cc
+++ b/src/balancer/data_plane.cc
@@ -1,12 +1,12 @@
-#include "daemon/data_plane.h"
+#include "balancer/data_plane.h"
 
 #include <algorithm>
 #include <chrono>
 #include <limits>
 #include <utility>
 
-#include "daemon/flow_explanation.h"
-#include "daemon/packet_receiver.h"
+#include "balancer/flow_explanation.h"
+#include "balancer/packet_receiver.h"
 
 namespace fighatch::daemon {
 
--- a/src/daemon/data_plane.h
+++ b/src/balancer/data_plane.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_DATA_PLANE_H_
-#define FIGHATCH_DAEMON_DATA_PLANE_H_
+#ifndef FIGHATCH_BALANCER_DATA_PLANE_H_
+#define FIGHATCH_BALANCER_DATA_PLANE_H_
 
 #include <array>
 #include <atomic>
@@ -11,7 +11,7 @@
 #include <thread>
 #include <vector>
 
-#include "daemon/packet_counters.h"
+#include "balancer/packet_counters.h"
 #include "fighatch/flow_decider.h"
 #include "fighatch/forwarding_table.h"
 #include "io/udp_socket.h"
@@ -137,4 +137,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_DATA_PLANE_H_
+#endif  // FIGHATCH_BALANCER_DATA_PLANE_H_
--- a/src/daemon/flow_explanation.h
+++ b/src/balancer/flow_explanation.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_FLOW_EXPLANATION_H_
-#define FIGHATCH_DAEMON_FLOW_EXPLANATION_H_
+#ifndef FIGHATCH_BALANCER_FLOW_EXPLANATION_H_
+#define FIGHATCH_BALANCER_FLOW_EXPLANATION_H_
 
 #include <cstdint>
 
@@ -16,4 +16,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_FLOW_EXPLANATION_H_
+#endif  // FIGHATCH_BALANCER_FLOW_EXPLANATION_H_
--- a/src/daemon/packet_codec.h
+++ b/src/balancer/packet_codec.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_PACKET_CODEC_H_
-#define FIGHATCH_DAEMON_PACKET_CODEC_H_
+#ifndef FIGHATCH_BALANCER_PACKET_CODEC_H_
+#define FIGHATCH_BALANCER_PACKET_CODEC_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -36,4 +36,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_PACKET_CODEC_H_
+#endif  // FIGHATCH_BALANCER_PACKET_CODEC_H_
--- a/src/daemon/packet_counters.h
+++ b/src/balancer/packet_counters.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_PACKET_COUNTERS_H_
-#define FIGHATCH_DAEMON_PACKET_COUNTERS_H_
+#ifndef FIGHATCH_BALANCER_PACKET_COUNTERS_H_
+#define FIGHATCH_BALANCER_PACKET_COUNTERS_H_
 
 #include <array>
 #include <atomic>
@@ -30,4 +30,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_PACKET_COUNTERS_H_
+#endif  // FIGHATCH_BALANCER_PACKET_COUNTERS_H_
--- a/src/daemon/packet_receiver.cc
+++ b/src/balancer/packet_receiver.cc
@@ -1,4 +1,4 @@
-#include "daemon/packet_receiver.h"
+#include "balancer/packet_receiver.h"
 
 #include <algorithm>
 #include <array>
--- a/src/daemon/packet_receiver.h
+++ b/src/balancer/packet_receiver.h
@@ -1,11 +1,11 @@
-#ifndef FIGHATCH_DAEMON_PACKET_RECEIVER_H_
-#define FIGHATCH_DAEMON_PACKET_RECEIVER_H_
+#ifndef FIGHATCH_BALANCER_PACKET_RECEIVER_H_
+#define FIGHATCH_BALANCER_PACKET_RECEIVER_H_
 
 #include <cstddef>
 #include <utility>
 #include <vector>
 
-#include "daemon/data_plane.h"
+#include "balancer/data_plane.h"
 #include "fighatch/gue.h"
 
 namespace fighatch::daemon {
@@ -55,4 +55,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_PACKET_RECEIVER_H_
+#endif  // FIGHATCH_BALANCER_PACKET_RECEIVER_H_
--- a/src/daemon/reachability.cc
+++ b/src/balancer/reachability.cc
@@ -1,4 +1,4 @@
-#include "daemon/reachability.h"
+#include "balancer/reachability.h"
 
 #include <chrono>
 
--- a/src/daemon/reachability.h
+++ b/src/balancer/reachability.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_REACHABILITY_H_
-#define FIGHATCH_DAEMON_REACHABILITY_H_
+#ifndef FIGHATCH_BALANCER_REACHABILITY_H_
+#define FIGHATCH_BALANCER_REACHABILITY_H_
 
 #include <map>
 #include <vector>
@@ -42,4 +42,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_REACHABILITY_H_
+#endif  // FIGHATCH_BALANCER_REACHABILITY_H_
--- a/src/daemon/request_driver.cc
+++ b/src/balancer/request_driver.cc
@@ -1,4 +1,4 @@
-#include "daemon/request_driver.h"
+#include "balancer/request_driver.h"
 
 #include <glog/logging.h>
 
--- a/src/daemon/request_driver.h
+++ b/src/balancer/request_driver.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_REQUEST_DRIVER_H_
-#define FIGHATCH_DAEMON_REQUEST_DRIVER_H_
+#ifndef FIGHATCH_BALANCER_REQUEST_DRIVER_H_
+#define FIGHATCH_BALANCER_REQUEST_DRIVER_H_
 
 #include <boost/fiber/buffered_channel.hpp>
 #include <boost/fiber/condition_variable.hpp>
@@ -12,9 +12,9 @@
 #include <optional>
 #include <vector>
 
-#include "daemon/data_plane.h"
+#include "balancer/data_plane.h"
+#include "balancer/target_connections.h"
 #include "daemon/peer_sender.h"
-#include "daemon/target_connections.h"
 #include "fighatch/random.h"
 #include "fighatch/request_engine.h"
 #include "observe/tracer.h"
@@ -94,4 +94,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_REQUEST_DRIVER_H_
+#endif  // FIGHATCH_BALANCER_REQUEST_DRIVER_H_
--- a/src/daemon/state_follower.cc
+++ b/src/balancer/state_follower.cc
@@ -1,4 +1,4 @@
-#include "daemon/state_follower.h"
+#include "balancer/state_follower.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
--- a/src/daemon/state_follower.h
+++ b/src/balancer/state_follower.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_STATE_FOLLOWER_H_
-#define FIGHATCH_DAEMON_STATE_FOLLOWER_H_
+#ifndef FIGHATCH_BALANCER_STATE_FOLLOWER_H_
+#define FIGHATCH_BALANCER_STATE_FOLLOWER_H_
 
 #include <chrono>
 #include <cstdint>
@@ -56,4 +56,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_STATE_FOLLOWER_H_
+#endif  // FIGHATCH_BALANCER_STATE_FOLLOWER_H_
--- a/src/daemon/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -1,4 +1,4 @@
-#include "daemon/steering_balancer.h"
+#include "balancer/steering_balancer.h"
 
 #include <glog/logging.h>
 
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-#include "daemon/log_replica.h"
+#include "daemon/clock.h"
 #include "daemon/metrics_server.h"
 #include "daemon/random_bits.h"
 #include "fighatch/host_address.h"
@@ -126,7 +126,7 @@
 }
 
 void SteeringBalancer::HandleBatch(std::span<const io::IncomingDatagram> batch) {
-  const TimePoint now = LogReplica::Now();
+  const TimePoint now = Now();
   m_last_packet_at = steady_clock::now();
   m_outgoing.clear();
   m_reset_packets.clear();
@@ -136,7 +136,7 @@
   if (!m_outgoing.empty()) m_packet_socket->Send(m_outgoing);
   // Checked after each batch: the sooner routers switch to other balancers, the fewer opening packets are lost.
   if (!m_targets_unreachable) UpdateTargetReachability(now);
-  m_latencies.m_batch.Add(LogReplica::Now() - now);
+  m_latencies.m_batch.Add(Now() - now);
 }
 
 void SteeringBalancer::HandlePacket(TimePoint now, const io::IncomingDatagram& datagram) {
@@ -191,7 +191,7 @@
 void SteeringBalancer::ServeAdmissionQueue() {
   while (!m_done) {
     boost::this_fiber::sleep_for(m_admission_queue.Size() > 0 ? kReleaseInterval : kIdleReleaseInterval);
-    if (m_admission_queue.Size() > 0) ReleaseWaitingPackets(LogReplica::Now());
+    if (m_admission_queue.Size() > 0) ReleaseWaitingPackets(Now());
   }
 }
 
--- a/src/daemon/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_STEERING_BALANCER_H_
-#define FIGHATCH_DAEMON_STEERING_BALANCER_H_
+#ifndef FIGHATCH_BALANCER_STEERING_BALANCER_H_
+#define FIGHATCH_BALANCER_STEERING_BALANCER_H_
 
 #include <chrono>
 #include <cstdint>
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "balancer/packet_codec.h"
 #include "config/steering_balancer_settings.h"
-#include "daemon/packet_codec.h"
 #include "daemon/seed_reload.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/admission_queue.h"
@@ -122,4 +122,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_STEERING_BALANCER_H_
+#endif  // FIGHATCH_BALANCER_STEERING_BALANCER_H_
--- a/src/daemon/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -5,8 +5,8 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
-#include "daemon/log_replica.h"
-#include "daemon/steering_balancer.h"
+#include "balancer/steering_balancer.h"
+#include "daemon/clock.h"
 #include "fighatch/host_address.h"
 
 namespace fighatch::daemon {
@@ -29,7 +29,7 @@
 void SteeringBalancer::ServeMessages() {
   while (!m_done) {
     for (const io::PlainMessage& message : m_message_socket->Receive(steady_clock::now() + kStopCheckInterval)) {
-      const TimePoint now = LogReplica::Now();
+      const TimePoint now = Now();
       if (message.m_type == MessageType::kSyncReply) {
         const Result<SyncReply> reply = DecodeSyncReply(message.m_payload);
         if (IsOk(reply)) HandleReply(now, ValueOf(reply));
@@ -68,7 +68,7 @@
 
 void SteeringBalancer::PollControlHosts() {
   while (!m_done) {
-    const TimePoint now = LogReplica::Now();
+    const TimePoint now = Now();
     for (const auto& [host, request] : m_sync_client.Tick(now, m_steering.State().m_index)) {
       SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
              EncodeSyncRequest(request));
@@ -109,7 +109,7 @@
 void SteeringBalancer::ReportLoad() {
   while (!m_done) {
     const std::vector<HostId> recipients = LoadReportRecipients();
-    m_steering.RefreshLoadCounts(LogReplica::Now());
+    m_steering.RefreshLoadCounts(Now());
     const LoadReport report = m_steering.MakeReport();
     // One empty report after one with load tells the other balancers that the load has ended.
     if (!report.m_loads.empty() || m_last_report_nonempty) {
--- a/src/daemon/steering_balancer_metrics.cc
+++ b/src/balancer/steering_balancer_metrics.cc
@@ -1,4 +1,4 @@
-#include "daemon/steering_balancer.h"
+#include "balancer/steering_balancer.h"
 
 namespace fighatch::daemon {
 
--- a/src/daemon/target_connections.cc
+++ b/src/balancer/target_connections.cc
@@ -1,4 +1,4 @@
-#include "daemon/target_connections.h"
+#include "balancer/target_connections.h"
 
 #include <utility>
 
--- a/src/daemon/target_connections.h
+++ b/src/balancer/target_connections.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_TARGET_CONNECTIONS_H_
-#define FIGHATCH_DAEMON_TARGET_CONNECTIONS_H_
+#ifndef FIGHATCH_BALANCER_TARGET_CONNECTIONS_H_
+#define FIGHATCH_BALANCER_TARGET_CONNECTIONS_H_
 
 #include <chrono>
 #include <map>
@@ -41,4 +41,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_TARGET_CONNECTIONS_H_
+#endif  // FIGHATCH_BALANCER_TARGET_CONNECTIONS_H_
--- a/src/daemon/control_http.cc
+++ b/src/control/control_http.cc
@@ -1,4 +1,4 @@
-#include "daemon/control_http.h"
+#include "control/control_http.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
--- a/src/daemon/control_http.h
+++ b/src/control/control_http.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_CONTROL_HTTP_H_
-#define FIGHATCH_DAEMON_CONTROL_HTTP_H_
+#ifndef FIGHATCH_CONTROL_CONTROL_HTTP_H_
+#define FIGHATCH_CONTROL_CONTROL_HTTP_H_
 
 #include <chrono>
 #include <map>
@@ -8,10 +8,10 @@
 #include <string>
 
 #include "config/control_settings.h"
-#include "daemon/control_metrics.h"
+#include "control/control_metrics.h"
+#include "control/ticket_backend.h"
 #include "daemon/http_authenticator.h"
 #include "daemon/operator_key.h"
-#include "daemon/ticket_backend.h"
 #include "fighatch/http_message.h"
 
 namespace fighatch::daemon {
@@ -66,4 +66,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_CONTROL_HTTP_H_
+#endif  // FIGHATCH_CONTROL_CONTROL_HTTP_H_
--- a/src/daemon/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -1,4 +1,4 @@
-#include "daemon/control_metrics.h"
+#include "control/control_metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
--- a/src/daemon/control_metrics.h
+++ b/src/control/control_metrics.h
@@ -1,10 +1,10 @@
-#ifndef FIGHATCH_DAEMON_CONTROL_METRICS_H_
-#define FIGHATCH_DAEMON_CONTROL_METRICS_H_
+#ifndef FIGHATCH_CONTROL_CONTROL_METRICS_H_
+#define FIGHATCH_CONTROL_CONTROL_METRICS_H_
 
 #include <memory>
 #include <string>
 
-#include "daemon/ticket_backend.h"
+#include "control/ticket_backend.h"
 
 namespace fighatch::daemon {
 
@@ -34,4 +34,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_CONTROL_METRICS_H_
+#endif  // FIGHATCH_CONTROL_CONTROL_METRICS_H_
--- a/src/daemon/control_replica.cc
+++ b/src/control/control_replica.cc
@@ -1,4 +1,4 @@
-#include "daemon/control_replica.h"
+#include "control/control_replica.h"
 
 #include <glog/logging.h>
 
--- a/src/daemon/control_replica.h
+++ b/src/control/control_replica.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_CONTROL_REPLICA_H_
-#define FIGHATCH_DAEMON_CONTROL_REPLICA_H_
+#ifndef FIGHATCH_CONTROL_CONTROL_REPLICA_H_
+#define FIGHATCH_CONTROL_CONTROL_REPLICA_H_
 
 #include <any>
 #include <boost/fiber/condition_variable.hpp>
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "config/control_settings.h"
-#include "daemon/log_replica.h"
-#include "daemon/replicated_state_machine.h"
-#include "daemon/ticket_backend.h"
+#include "control/log_replica.h"
+#include "control/replicated_state_machine.h"
+#include "control/ticket_backend.h"
 
 namespace fighatch::daemon {
 
@@ -59,4 +59,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_CONTROL_REPLICA_H_
+#endif  // FIGHATCH_CONTROL_CONTROL_REPLICA_H_
--- a/src/daemon/control_service.h
+++ b/src/control/control_service.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_CONTROL_SERVICE_H_
-#define FIGHATCH_DAEMON_CONTROL_SERVICE_H_
+#ifndef FIGHATCH_CONTROL_CONTROL_SERVICE_H_
+#define FIGHATCH_CONTROL_CONTROL_SERVICE_H_
 
 #include <cstdint>
 #include <optional>
@@ -44,4 +44,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_CONTROL_SERVICE_H_
+#endif  // FIGHATCH_CONTROL_CONTROL_SERVICE_H_
--- a/src/daemon/control_storage.cc
+++ b/src/control/control_storage.cc
@@ -1,4 +1,4 @@
-#include "daemon/control_storage.h"
+#include "control/control_storage.h"
 
 #include <glog/logging.h>
 #include <sodium.h>
--- a/src/daemon/control_storage.h
+++ b/src/control/control_storage.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_CONTROL_STORAGE_H_
-#define FIGHATCH_DAEMON_CONTROL_STORAGE_H_
+#ifndef FIGHATCH_CONTROL_CONTROL_STORAGE_H_
+#define FIGHATCH_CONTROL_CONTROL_STORAGE_H_
 
 #include <memory>
 
@@ -29,4 +29,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_CONTROL_STORAGE_H_
+#endif  // FIGHATCH_CONTROL_CONTROL_STORAGE_H_
--- a/src/daemon/log_replica.cc
+++ b/src/control/log_replica.cc
@@ -1,4 +1,4 @@
-#include "daemon/log_replica.h"
+#include "control/log_replica.h"
 
 #include <glog/logging.h>
 #include <time.h>
@@ -44,12 +44,6 @@
 
 LogReplica::~LogReplica() { Stop(); }
 
-TimePoint LogReplica::Now() {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
-}
-
 void LogReplica::Start(ChangeObserver observer) {
   m_observer = std::move(observer);
   m_transport->Start([this](const std::vector<std::byte>& bytes) { ReceiveMessage(bytes); });
--- a/src/daemon/log_replica.h
+++ b/src/control/log_replica.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_LOG_REPLICA_H_
-#define FIGHATCH_DAEMON_LOG_REPLICA_H_
+#ifndef FIGHATCH_CONTROL_LOG_REPLICA_H_
+#define FIGHATCH_CONTROL_LOG_REPLICA_H_
 
 #include <any>
 #include <boost/fiber/condition_variable.hpp>
@@ -16,9 +16,10 @@
 #include <utility>
 #include <vector>
 
+#include "control/replicated_state_machine.h"
 #include "daemon/blocking_worker.h"
+#include "daemon/clock.h"
 #include "daemon/message_transport.h"
-#include "daemon/replicated_state_machine.h"
 #include "fighatch/log_storage.h"
 #include "fighatch/raft_node.h"
 #include "io/reactor.h"
@@ -79,10 +80,6 @@
   /// Durations of writes to the storage, syncs included.
   [[nodiscard]] const observe::LatencyHistogram& PersistLatency() const noexcept { return m_persist_latency; }
 
-  /// The clock of the node's leases and deadlines. It advances while the host is suspended, so that a host that resumes
-  /// finds its lease expired.
-  [[nodiscard]] static TimePoint Now();
-
  private:
   using Input = std::function<void(TimePoint now)>;
   using ProposalId = std::pair<LogIndex, Term>;
@@ -133,4 +130,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_LOG_REPLICA_H_
+#endif  // FIGHATCH_CONTROL_LOG_REPLICA_H_
--- a/src/daemon/steering_control.cc
+++ b/src/control/steering_control.cc
@@ -1,4 +1,4 @@
-#include "daemon/steering_control.h"
+#include "control/steering_control.h"
 
 #include <glog/logging.h>
 
@@ -7,6 +7,7 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
+#include "daemon/clock.h"
 #include "daemon/metrics_server.h"
 #include "daemon/random_bits.h"
 #include "fighatch/host_address.h"
@@ -230,7 +231,7 @@
 
 Status SteeringControl::Announce(const AnnouncedTarget& record) {
   ++m_counters.m_announcements;
-  const AnnounceOutcome outcome = m_target_directory.Announce(LogReplica::Now(), record);
+  const AnnounceOutcome outcome = m_target_directory.Announce(Now(), record);
   if (outcome == AnnounceOutcome::kChanged) RequestPush();
   Status status = AwaitConfirmation(record.m_id, record.m_state != RecordState::kReady);
   if (!IsOk(status)) ++m_counters.m_announcements_refused;
@@ -247,7 +248,7 @@
 
 Status SteeringControl::Withdraw(TargetId id, std::optional<std::uint64_t> start_unix_ms) {
   ++m_counters.m_announcements;
-  const AnnounceOutcome outcome = m_target_directory.Withdraw(LogReplica::Now(), id, start_unix_ms);
+  const AnnounceOutcome outcome = m_target_directory.Withdraw(Now(), id, start_unix_ms);
   if (outcome == AnnounceOutcome::kChanged) RequestPush();
   Status status = AwaitConfirmation(id, true);
   LOG(INFO) << "event=target_withdrawn target=" << std::hex << id.m_value << std::dec
@@ -264,7 +265,7 @@
   const std::uint64_t change = m_target_directory.LastChange();
   const bool confirmed = m_confirmed.wait_until(lock, deadline, [&] {
     const bool is_saved = !synced || m_saved_change >= change || !m_targets_are_saved;
-    return is_saved && m_target_monitor.IsConfirmed(LogReplica::Now(), sequence);
+    return is_saved && m_target_monitor.IsConfirmed(Now(), sequence);
   });
   m_confirmation_latency.Add(steady_clock::now() - (deadline - kConfirmationTimeout));
   return confirmed ? OkStatus()
--- a/src/daemon/steering_control.h
+++ b/src/control/steering_control.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_STEERING_CONTROL_H_
-#define FIGHATCH_DAEMON_STEERING_CONTROL_H_
+#ifndef FIGHATCH_CONTROL_STEERING_CONTROL_H_
+#define FIGHATCH_CONTROL_STEERING_CONTROL_H_
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "config/steering_control_settings.h"
+#include "control/control_service.h"
+#include "control/log_replica.h"
 #include "daemon/blocking_worker.h"
-#include "daemon/control_service.h"
-#include "daemon/log_replica.h"
 #include "daemon/seed_reload.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/commit_mark.h"
@@ -161,4 +161,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_STEERING_CONTROL_H_
+#endif  // FIGHATCH_CONTROL_STEERING_CONTROL_H_
--- a/src/daemon/steering_control_messages.cc
+++ b/src/control/steering_control_messages.cc
@@ -4,7 +4,8 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
-#include "daemon/steering_control.h"
+#include "control/steering_control.h"
+#include "daemon/clock.h"
 #include "fighatch/host_address.h"
 
 namespace fighatch::daemon {
@@ -25,14 +26,14 @@
 }  // namespace
 
 bool SteeringControl::AwaitMajority(StopSignal* stop) {
-  while (!m_sync_client.IsCurrent(LogReplica::Now())) {
+  while (!m_sync_client.IsCurrent(Now())) {
     if (stop->Wait(steady_clock::now())) return false;
-    for (const auto& [host, request] : m_sync_client.Tick(LogReplica::Now(), 0)) {
+    for (const auto& [host, request] : m_sync_client.Tick(Now(), 0)) {
       SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
              EncodeSyncRequest(request));
     }
     for (const io::PlainMessage& message : m_message_socket->Receive(steady_clock::now() + kFastPollInterval)) {
-      HandleMessage(LogReplica::Now(), message);
+      HandleMessage(Now(), message);
     }
   }
   return true;
@@ -50,7 +51,7 @@
 void SteeringControl::ServeMessages() {
   while (!m_done) {
     for (const io::PlainMessage& message : m_message_socket->Receive(steady_clock::now() + kStopCheckInterval)) {
-      HandleMessage(LogReplica::Now(), message);
+      HandleMessage(Now(), message);
     }
   }
 }
@@ -113,7 +114,7 @@
 }
 
 void SteeringControl::PushChanges() {
-  const TimePoint now = LogReplica::Now();
+  const TimePoint now = Now();
   for (const auto& [host, reply] : m_sync_server.Push(now, m_target_monitor.HasMajority(now))) {
     const bool is_control = m_sync_client.Contacts().contains(host);
     SendTo(host,
@@ -124,7 +125,7 @@
 
 void SteeringControl::PollOtherControlHosts() {
   while (!m_done) {
-    const TimePoint now = LogReplica::Now();
+    const TimePoint now = Now();
     UpdateControlHosts();
     UpdateTargets(now);
     for (const auto& [host, request] : m_sync_client.Tick(now, 0)) {
--- a/src/daemon/steering_control_metrics.cc
+++ b/src/control/steering_control_metrics.cc
@@ -1,4 +1,4 @@
-#include "daemon/steering_control.h"
+#include "control/steering_control.h"
 
 namespace fighatch::daemon {
 
--- a/src/daemon/steering_control_storage.cc
+++ b/src/control/steering_control_storage.cc
@@ -3,8 +3,9 @@
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
-#include "daemon/control_storage.h"
-#include "daemon/steering_control.h"
+#include "control/control_storage.h"
+#include "control/steering_control.h"
+#include "daemon/clock.h"
 
 namespace fighatch::daemon {
 namespace {
@@ -107,7 +108,7 @@
                  << " next=\"targets are learned from their announcements\"";
     return;
   }
-  const TimePoint now = LogReplica::Now();
+  const TimePoint now = Now();
   for (const AnnouncedTarget& record : ValueOf(records)) (void)m_target_directory.Announce(now, record);
   LOG(INFO) << "event=target_cache_loaded targets=" << ValueOf(records).size();
 }
@@ -121,7 +122,7 @@
     const std::uint64_t last_change = m_target_directory.LastChange();
     if (last_change == m_saved_change && !refresh_due) continue;
     std::vector<AnnouncedTarget> records;
-    for (const TargetObservation& observation : m_target_directory.ChangedSince(LogReplica::Now(), 0, true)) {
+    for (const TargetObservation& observation : m_target_directory.ChangedSince(Now(), 0, true)) {
       // Ended targets are kept, so that a restart of all control hosts does not bring them back.
       if (observation.m_record.m_state != RecordState::kSilent) records.push_back(observation.m_record);
     }
--- a/src/daemon/ticket_backend.h
+++ b/src/control/ticket_backend.h
@@ -1,5 +1,5 @@
-#ifndef FIGHATCH_DAEMON_TICKET_BACKEND_H_
-#define FIGHATCH_DAEMON_TICKET_BACKEND_H_
+#ifndef FIGHATCH_CONTROL_TICKET_BACKEND_H_
+#define FIGHATCH_CONTROL_TICKET_BACKEND_H_
 
 #include <cstdint>
 #include <string>
@@ -55,4 +55,4 @@
 
 }  // namespace fighatch::daemon
 
-#endif  // FIGHATCH_DAEMON_TICKET_BACKEND_H_
+#endif  // FIGHATCH_CONTROL_TICKET_BACKEND_H_
--- a/tests/control_loop_test.cc
+++ b/tests/control_loop_test.cc
@@ -4,8 +4,8 @@
 
 #include <chrono>
 
-#include "daemon/coordinator_resync.h"
-#include "daemon/reachability.h"
+#include "balancer/coordinator_resync.h"
+#include "balancer/reachability.h"
 
 namespace fighatch::daemon {
 namespace {
--- a/tests/flow_explanation_test.cc
+++ b/tests/flow_explanation_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/flow_explanation.h"
+#include "balancer/flow_explanation.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/log_replica.h"
+#include "control/log_replica.h"
 
 #include <gtest/gtest.h>
 
