--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -71,6 +71,7 @@
 #include "fighatch/routing_state.h"
 #include "fighatch/sealer.h"
 #include "fighatch/secure_channel.h"
+#include "fighatch/service_demand.h"
 #include "fighatch/slot_table.h"
 #include "fighatch/stalled_flow_detector.h"
 #include "fighatch/state_delta.h"
