--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -38,6 +38,20 @@
   EXPECT_EQ(PacketFormat().MakeReset(kOpeningPacket), kResetPacket);
 }
 
+// Guards against scheduling by wrong fields: a duplicate is recognised by its sequence number, bulk by its data bytes.
+TEST(PacketFormatTest, ReadsSequenceNumberAndDataLength) {
+  std::vector<std::byte> packet = kOpeningPacket;
+  packet[30] = std::byte{64};
+  packet.resize(PacketFormat::kHeaderBytes + 300);
+  packet[28] = std::byte{300 >> 8};
+  packet[29] = std::byte{300 & 0xff};
+  const Result<CookiePacket> data = PacketFormat().Parse(packet);
+  ASSERT_TRUE(IsOk(data));
+  EXPECT_EQ(ValueOf(data).m_sequence, 0x11223344U);
+  EXPECT_EQ(ValueOf(data).m_data_bytes, 300U);
+  EXPECT_EQ(ValueOf(PacketFormat().Parse(kOpeningPacket)).m_data_bytes, 0U);
+}
+
 // Guards against a reset that the client of an established flow ignores because its sequence number is not close to
 // the client's acknowledgement number.
 TEST(PacketFormatTest, ResetOfAnEstablishedFlowCarriesTheAcknowledgementNumber) {
