Add a scheduler for the uplink and admission control of bulk flows

Cause: uploads are sent in bursts of 16 packets; a link of 2.8 Mbit/s drops what exceeds its rate, and senders wait 200 ms and more before they send it again. Change: EgressScheduler paces datagrams at 95% of the link rate, sends short packets before bulk data and bulk data by flow, and drops duplicates of queued data; its work for a packet is logarithmic in the number of flows. BulkAdmission refuses bulk flows that cannot finish in time. The setting link_mbps is read, and no daemon uses it yet.

--- a/src/config/steering_balancer_settings.cc
+++ b/src/config/steering_balancer_settings.cc
@@ -8,6 +8,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kMaxDuration{600000};
+constexpr double kMaxLinkMbps = 1000000;
 
 }  // namespace
 
@@ -20,6 +21,7 @@
   reader.EndpointField("packets", &settings.m_packet_endpoint);
   reader.EndpointField("readiness", &settings.m_readiness_endpoint);
   reader.OptionalMilliseconds("stop_grace_ms", milliseconds(100), kMaxDuration, &settings.m_stop_grace);
+  reader.OptionalNumber("link_mbps", 0, kMaxLinkMbps, &settings.m_link_mbps);
   const Status status = reader.Finish();
   if (!IsOk(status)) return ErrorOf(status);
   return settings;
--- /dev/null
+++ b/tests/egress_scheduler_test.cc
@@ -0,0 +1,298 @@
+#include "fighatch/egress_scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include "config/steering_balancer_settings.h"
+#include "uplink_replay.h"
+
+namespace fighatch {
+namespace {
+
+using testing_support::LaterPacket;
+using testing_support::milliseconds;
+using testing_support::OpeningPacket;
+using testing_support::UplinkReplay;
+using testing_support::UplinkResult;
+
+constexpr milliseconds kObjective{1200};
+constexpr std::uint32_t kDataBytes = 1200;
+constexpr std::size_t kDatagramBytes = 1240;
+
+class EgressSchedulerTest : public testing::Test {
+ protected:
+  void Open(std::uint32_t client) { (void)Offer(OpeningPacket(client)); }
+  bool Data(std::uint32_t client, std::uint32_t sequence) {
+    CookiePacket packet = LaterPacket(client, 1);
+    packet.m_sequence = sequence;
+    packet.m_data_bytes = kDataBytes;
+    return Offer(packet);
+  }
+  bool Offer(const CookiePacket& packet) {
+    const Endpoint destination{packet.m_endpoints.m_client.m_address, static_cast<std::uint16_t>(packet.m_sequence)};
+    const std::vector<std::byte> bytes(packet.m_data_bytes > 0 ? kDatagramBytes : 40);
+    return m_scheduler.Offer(m_now, packet, kObjective, destination, bytes);
+  }
+  // Opens a flow and sends data until `packets` of its bulk data are queued.
+  void QueueBulk(std::uint32_t client, std::uint32_t packets) {
+    Open(client);
+    for (std::uint32_t sequence = 1; sequence <= 6 + packets; ++sequence) (void)Data(client, sequence);
+  }
+  // Sends until nothing of the short class is left.
+  void SendShort() {
+    for (; !m_scheduler.IsEmpty(); m_now += EgressScheduler::kPacingInterval) {
+      while (const auto next = m_scheduler.Take(m_now)) {
+        if (next->m_class == EgressClass::kBulk) return;
+      }
+    }
+  }
+  std::uint32_t ClientOf(const EgressDatagram& datagram) {
+    return datagram.m_destination.m_address.ToV4() - 0x64400000;
+  }
+  std::uint64_t Dropped(EgressDropReason reason) {
+    return m_scheduler.Counters().m_dropped[static_cast<std::size_t>(reason)];
+  }
+  // Sends for `span` and counts the datagrams for which `counts` is true, and all of them.
+  template <typename Predicate, typename BeforeEach>
+  double ShareSent(Duration span, const Predicate& counts, const BeforeEach& before_each) {
+    double counted = 0;
+    double all = 0;
+    for (const TimePoint end = m_now + span; m_now < end; m_now += EgressScheduler::kPacingInterval) {
+      before_each();
+      while (const auto next = m_scheduler.Take(m_now)) {
+        all += static_cast<double>(next->m_bytes.size());
+        if (counts(*next)) counted += static_cast<double>(next->m_bytes.size());
+      }
+    }
+    return counted / all;
+  }
+
+  TimePoint m_now{std::chrono::seconds(100)};
+  EgressScheduler m_scheduler{UplinkReplay::kLinkMbps};
+};
+
+// Guards against a link that carries the same data twice because retransmissions wait behind their originals.
+TEST_F(EgressSchedulerTest, DropsDuplicatesOfQueuedData) {
+  QueueBulk(1, 10);
+  QueueBulk(2, 1);
+  EXPECT_FALSE(Data(1, 16));
+  EXPECT_EQ(Dropped(EgressDropReason::kDuplicate), 1U);
+  while (!m_scheduler.IsEmpty()) {
+    (void)m_scheduler.Take(m_now);
+    m_now += milliseconds(1);
+  }
+  m_now += milliseconds(100);
+  EXPECT_TRUE(Data(1, 16));
+  EXPECT_EQ(Dropped(EgressDropReason::kDuplicate), 1U);
+}
+
+// Guards against a target that sees the end of a flow before its data.
+TEST_F(EgressSchedulerTest, PacketsOfAFlowKeepTheirOrder) {
+  for (const std::uint32_t packets : {4U, 12U}) {
+    Open(packets);
+    std::vector<int> sent;
+    for (std::uint32_t sequence = 1; sequence <= packets; ++sequence) {
+      if (Data(packets, sequence)) sent.push_back(static_cast<int>(sequence));
+    }
+    CookiePacket closing = LaterPacket(packets, 1, true);
+    closing.m_sequence = packets + 1;
+    EXPECT_FALSE(Offer(closing));
+    for (; !m_scheduler.IsEmpty(); m_now += EgressScheduler::kPacingInterval) {
+      while (const auto next = m_scheduler.Take(m_now)) sent.push_back(next->m_destination.m_port);
+    }
+    ASSERT_EQ(sent.size(), packets + 1);
+    EXPECT_TRUE(std::is_sorted(sent.begin(), sent.end()));
+  }
+}
+
+// Guards against bulk data that stops while short packets fill the link; it gets at least a tenth.
+TEST_F(EgressSchedulerTest, BulkDataKeepsItsShareUnderShortPackets) {
+  QueueBulk(1, 400);
+  SendShort();
+  std::uint32_t client = 10;
+  const double share = ShareSent(
+      std::chrono::seconds(1), [](const EgressDatagram& sent) { return sent.m_class == EgressClass::kBulk; },
+      [&] {
+        for (int count = 0; count < 3; ++count) (void)Data(++client, 1);
+      });
+  EXPECT_GE(share, 0.1);
+  EXPECT_LE(share, 0.2);
+}
+
+// Guards against late flows that stop while others can still finish in time, and against an order other than by age.
+TEST_F(EgressSchedulerTest, LateFlowsProgressWhileOthersAreServed) {
+  QueueBulk(1, 200);
+  QueueBulk(2, 200);
+  SendShort();
+  m_now += kObjective;
+  QueueBulk(3, 200);
+  SendShort();
+  std::set<std::uint32_t> clients;
+  const double share = ShareSent(
+      milliseconds(400),
+      [&](const EgressDatagram& sent) {
+        clients.insert(ClientOf(sent));
+        return ClientOf(sent) == 1;
+      },
+      [] {});
+  EXPECT_GE(share, 0.1);
+  EXPECT_LE(share, 0.2);
+  EXPECT_EQ(clients, (std::set<std::uint32_t>{1, 3}));
+}
+
+// Guards against requests on a long flow that are treated as bulk data once the flow has sent enough in all.
+TEST_F(EgressSchedulerTest, EachRequestOfALongFlowBeginsShort) {
+  Open(1);
+  for (std::uint32_t request = 1; request <= 20; ++request) {
+    m_now += milliseconds(50);
+    EXPECT_TRUE(Data(1, request)) << request;
+    EXPECT_TRUE(Offer(LaterPacket(1, 1))) << request;
+    QueueBulk(100 + request, 1);
+    const std::uint64_t dropped = Dropped(EgressDropReason::kDuplicate);
+    (void)Data(1, request);
+    EXPECT_EQ(Dropped(EgressDropReason::kDuplicate), dropped);
+    while (!m_scheduler.IsEmpty()) {
+      (void)m_scheduler.Take(m_now);
+      m_now += milliseconds(1);
+    }
+  }
+  EXPECT_LT(m_scheduler.DemandOf(testing_support::kPublicAddress).m_mean_bytes, BulkAdmission::kMinBulkBytes);
+}
+
+// Guards against memory that grows with the load: beyond the limit the flow that would finish last loses packets.
+TEST_F(EgressSchedulerTest, QueueIsBounded) {
+  QueueBulk(1, 200);
+  m_now += milliseconds(1);
+  QueueBulk(2, 2000);
+  EXPECT_LE(m_scheduler.QueuedBytes(), EgressScheduler::kMaxQueuedBytes);
+  EXPECT_LE(m_scheduler.QueuedPackets(), EgressScheduler::kMaxQueuedPackets);
+  EXPECT_GT(Dropped(EgressDropReason::kQueueFull), 0U);
+  std::map<std::uint32_t, int> sent;
+  while (!m_scheduler.IsEmpty()) {
+    (void)Offer(LaterPacket(1, 1));
+    (void)Offer(LaterPacket(2, 1));
+    while (const auto next = m_scheduler.Take(m_now)) sent[ClientOf(*next)] += next->m_class == EgressClass::kBulk;
+    m_now += EgressScheduler::kPacingInterval;
+  }
+  EXPECT_EQ(sent[1], 200);
+}
+
+// Guards against a queue that is kept for clients that have gone.
+TEST_F(EgressSchedulerTest, SilentAndResetFlowsGiveUpTheirQueue) {
+  QueueBulk(1, 20);
+  QueueBulk(2, 20);
+  m_scheduler.Forget(m_now, OpeningPacket(1).m_endpoints);
+  EXPECT_EQ(Dropped(EgressDropReason::kFlowSilent), 20U);
+  m_now += EgressScheduler::kMaxSilence + milliseconds(1);
+  while (m_scheduler.Take(m_now)) {
+  }
+  EXPECT_TRUE(m_scheduler.IsEmpty());
+  EXPECT_GE(Dropped(EgressDropReason::kFlowSilent), 40U);
+}
+
+// Guards against resets and messages that are sent beyond the rate of the link.
+TEST_F(EgressSchedulerTest, ChargedBytesDelayPackets) {
+  m_scheduler.Charge(m_now, 40000);
+  Open(1);
+  EXPECT_FALSE(m_scheduler.IsEmpty());
+  m_now += milliseconds(100);
+  EXPECT_FALSE(m_scheduler.Take(m_now).has_value());
+  m_now += milliseconds(30);
+  EXPECT_TRUE(m_scheduler.Take(m_now).has_value());
+}
+
+// Guards against log lines for each short queue, and against none for a link that stays full.
+TEST_F(EgressSchedulerTest, SaturationFollowsLongQueues) {
+  QueueBulk(1, 1000);
+  m_now += milliseconds(900);
+  EXPECT_FALSE(m_scheduler.UpdateSaturation(m_now));
+  m_now += milliseconds(200);
+  EXPECT_TRUE(m_scheduler.UpdateSaturation(m_now));
+  m_scheduler.Forget(m_now, OpeningPacket(1).m_endpoints);
+  while (!m_scheduler.IsEmpty()) {
+    (void)m_scheduler.Take(m_now);
+    m_now += milliseconds(1);
+  }
+  EXPECT_TRUE(m_scheduler.UpdateSaturation(m_now));
+  m_now += milliseconds(1100);
+  EXPECT_FALSE(m_scheduler.UpdateSaturation(m_now));
+}
+
+// Guards against pacing of links that send a whole batch within one interval anyway.
+TEST(EgressSchedulerSetupTest, IsOffWithoutAnEffect) {
+  EXPECT_FALSE(EgressScheduler::IsNeeded(0, 32));
+  EXPECT_TRUE(EgressScheduler::IsNeeded(2.8, 32));
+  EXPECT_TRUE(EgressScheduler::IsNeeded(9.2, 32));
+  EXPECT_FALSE(EgressScheduler::IsNeeded(1000, 32));
+}
+
+// Guards against a rate that is read wrongly or not bounded.
+TEST(EgressSchedulerSetupTest, ReadsTheLinkRateFromTheSettings) {
+  const auto parse = [](const std::string& rate) {
+    return config::ParseSteeringBalancerSettings(
+        R"({"address":"192.0.2.21","data_centre":"north","seeds":["192.0.2.11:7400"],"control_message_port":7401,)"
+        R"("balancer_message_port":7402,"unsealed_messages":true,"packets":"192.0.2.21:7500",)"
+        R"("readiness":"192.0.2.21:7501")" +
+        rate + "}");
+  };
+  ASSERT_TRUE(IsOk(parse("")));
+  EXPECT_EQ(ValueOf(parse("")).m_link_mbps, 0);
+  EXPECT_EQ(ValueOf(parse(R"(,"link_mbps":2.8)")).m_link_mbps, 2.8);
+  EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":-1)")));
+  EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":1000001)")));
+  EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":"2.8")")));
+}
+
+// Guards against refusals without cause: of flows that are open already, of small or unknown services, without an
+// objective, and on a host that has room.
+TEST(BulkAdmissionTest, RefusesOnlyFirstPacketsOfBulkFlowsWithoutRoom) {
+  BulkAdmission admission;
+  const BulkDemand full{BulkAdmission::kMinFinishedFlows, 80000, 320000, 350000};
+  EXPECT_FALSE(admission.Admit(OpeningPacket(1), kObjective, full));
+  EXPECT_EQ(admission.Refused(), 1U);
+  EXPECT_TRUE(admission.Admit(OpeningPacket(1, 1), kObjective, full));
+  EXPECT_TRUE(admission.Admit(LaterPacket(1, 1), kObjective, full));
+  EXPECT_TRUE(admission.Admit(OpeningPacket(1), Duration(0), full));
+  EXPECT_TRUE(
+      admission.Admit(OpeningPacket(1), kObjective, {BulkAdmission::kMinFinishedFlows - 1, 80000, 320000, 350000}));
+  EXPECT_TRUE(admission.Admit(OpeningPacket(1), kObjective, {100, 15999, 320000, 350000}));
+  EXPECT_TRUE(admission.Admit(OpeningPacket(1), kObjective, {100, 80000, 80000, 350000}));
+  EXPECT_TRUE(admission.Admit(OpeningPacket(1), kObjective, {100, 800000, 0, 350000}));
+  EXPECT_EQ(admission.Refused(), 1U);
+}
+
+class UplinkReplayTest : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against uploads that miss their objective on a quiet day because the uplink drops what is sent unpaced.
+TEST_P(UplinkReplayTest, UploadsFinishInTimeAtQuietLoad) {
+  const UplinkResult today = UplinkReplay({0.35, 22, false, false, GetParam()}).Run();
+  const UplinkResult scheduled = UplinkReplay({0.35, 22, true, false, GetParam()}).Run();
+  EXPECT_GE(scheduled.InTimeShare(), 0.9);
+  EXPECT_GE(scheduled.InTimeShare(), today.InTimeShare());
+  EXPECT_EQ(scheduled.m_link_drops, 0U);
+  RecordProperty("today_in_time", std::to_string(today.InTimeShare()));
+  RecordProperty("scheduled_in_time", std::to_string(scheduled.InTimeShare()));
+}
+
+// Guards against packets lost at the balancer's own link while the link can carry the load.
+TEST_P(UplinkReplayTest, LinkDropsNothingAtHighLoad) {
+  const UplinkResult today = UplinkReplay({0.9, 0, false, false, GetParam()}).Run();
+  const UplinkResult scheduled = UplinkReplay({0.9, 0, true, false, GetParam()}).Run();
+  EXPECT_GT(today.m_link_drops, 0U);
+  EXPECT_EQ(scheduled.m_link_drops, 0U);
+  EXPECT_GE(scheduled.m_bulk_in_time, today.m_bulk_in_time);
+}
+
+// Guards against small requests that wait behind a burst of uploads: 2.5 times a bulk load of 0.9.
+TEST_P(UplinkReplayTest, SmallRequestsDoNotWaitBehindUploads) {
+  for (const bool admission : {false, true}) {
+    const UplinkResult scheduled = UplinkReplay({2.5 * 0.9, 22, true, admission, GetParam()}).Run();
+    EXPECT_LT(scheduled.m_longest_small_wait, milliseconds(20)) << admission;
+    EXPECT_EQ(scheduled.m_link_drops, 0U) << admission;
+    EXPECT_EQ(scheduled.m_bulk_refused > 0, admission);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, UplinkReplayTest, testing::Values(1, 2, 3));
+
+}  // namespace
+}  // namespace fighatch
