Schedule the uplink of steering balancers

Cause: hosts with slow uplinks receive 40 to 50% of all data packets a second time, since their own links drop the first. Change: with link_mbps set, datagrams to targets pass the EgressScheduler; a fiber sends queued ones every 4 ms and sleeps while there are none. Resets and messages are charged to the link and never wait. Opening packets of bulk flows that cannot finish in time are refused. Without the setting no packet takes another path.

--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -66,7 +66,9 @@
       m_seed_reload(std::move(settings_path), config::ParseSteeringBalancerSettings, &m_settings.m_discovery,
                     &m_sync_client),
       m_log_line_budget(m_settings.m_discovery.m_log_lines_per_second),
-      m_last_packet_at(steady_clock::now()) {}
+      m_last_packet_at(steady_clock::now()) {
+  if (EgressScheduler::IsNeeded(m_settings.m_link_mbps, kPacketBatch)) m_egress.emplace(m_settings.m_link_mbps);
+}
 
 Status SteeringBalancer::Open(io::HttpHandler readiness) {
   io::UdpOptions options;
@@ -106,6 +108,7 @@
   fibers.emplace_back([this] { PollControlHosts(); });
   fibers.emplace_back([this] { ReportLoad(); });
   fibers.emplace_back([this] { ServeAdmissionQueue(); });
+  if (m_egress) fibers.emplace_back([this] { ServeEgress(); });
   fibers.emplace_back([this] { m_readiness_server->Serve(); });
   if (m_metrics_server) fibers.emplace_back([this] { m_metrics_server->Serve(); });
   AwaitStop(stop);
@@ -147,29 +150,38 @@
     if (m_log_line_budget.Allow()) LOG(WARNING) << "event=packet_refused " << ToString(ErrorOf(packet));
     return;
   }
+  if (const std::optional<SteeringDecision> refusal = RefuseBulkFlow(ValueOf(packet))) {
+    ApplyDecision(now, ValueOf(packet), datagram.m_bytes, *refusal);
+    return;
+  }
   const SteeringDecision decision = m_steering.Steer(now, ValueOf(packet));
   if (decision.m_action == SteeringAction::kHold) {
     HoldPacket(now, ValueOf(packet), datagram.m_bytes, decision);
     return;
   }
-  ApplyDecision(ValueOf(packet), datagram.m_bytes, decision);
+  ApplyDecision(now, ValueOf(packet), datagram.m_bytes, decision);
 }
 
-void SteeringBalancer::ApplyDecision(const CookiePacket& packet, std::span<std::byte> bytes,
+void SteeringBalancer::ApplyDecision(TimePoint now, const CookiePacket& packet, std::span<std::byte> bytes,
                                      const SteeringDecision& decision) {
   switch (decision.m_action) {
-    case SteeringAction::kForward:
+    case SteeringAction::kForward: {
       ++m_counters.m_forwarded;
       m_counters.m_placed += decision.m_placed ? 1 : 0;
       if (decision.m_opened_after) m_latencies.m_open.Add(*decision.m_opened_after);
       if (decision.m_closed_after) m_latencies.m_flow.Add(*decision.m_closed_after);
-      m_outgoing.push_back({decision.m_endpoint, m_codec->Encapsulate(bytes, decision.m_target, decision.m_cookie)});
+      const std::span<const std::byte> datagram = m_codec->Encapsulate(bytes, decision.m_target, decision.m_cookie);
+      if (!m_egress || OfferToLink(now, packet, decision.m_endpoint, datagram)) {
+        m_outgoing.push_back({decision.m_endpoint, datagram});
+      }
       break;
+    }
     case SteeringAction::kReset:
       ++m_counters.m_resets;
       m_reset_packets.push_back(m_codec->MakeReset(bytes));
       m_outgoing.push_back({{packet.m_endpoints.m_client.m_address, m_settings.m_packet_endpoint.m_port},
                             std::span<const std::byte>(m_reset_packets.back())});
+      if (m_egress) AccountReset(now, packet, m_reset_packets.back().size());
       break;
     case SteeringAction::kDrop:
     case SteeringAction::kHold:
@@ -220,7 +232,7 @@
       continue;
     }
     m_latencies.m_wait.Add(now - packet.m_first_sent);
-    ApplyDecision(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
+    ApplyDecision(now, packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
     --budget;
   }
   for (WaitingPacket& packet : held) m_admission_queue.Put(std::move(packet));
@@ -239,7 +251,7 @@
   for (WaitingPacket& packet : m_admission_queue.RemoveExcess(m_steering.WaitingLimit(now))) {
     ++m_counters.m_refused_waiting;
     m_latencies.m_wait.Add(now - packet.m_first_sent);
-    ApplyDecision(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), refused);
+    ApplyDecision(now, packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), refused);
   }
 }
 
@@ -293,7 +305,8 @@
   while (steady_clock::now() < deadline) {
     boost::this_fiber::sleep_for(milliseconds(100));
     const auto now = steady_clock::now();
-    if (now - started >= kMinDrainTime && now - m_last_packet_at >= kDrainIdleTime) break;
+    const bool is_idle = now - m_last_packet_at >= kDrainIdleTime && (!m_egress || m_egress->m_scheduler.IsEmpty());
+    if (now - started >= kMinDrainTime && is_idle) break;
   }
 }
 
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -1,6 +1,9 @@
 #ifndef FIGHATCH_BALANCER_STEERING_BALANCER_H_
 #define FIGHATCH_BALANCER_STEERING_BALANCER_H_
 
+#include <array>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -13,7 +16,9 @@
 #include "daemon/seed_reload.h"
 #include "daemon/stop_signal.h"
 #include "fighatch/admission_queue.h"
+#include "fighatch/bulk_admission.h"
 #include "fighatch/cookie_steering.h"
+#include "fighatch/egress_scheduler.h"
 #include "fighatch/sync_client.h"
 #include "io/http_server.h"
 #include "io/plain_message_socket.h"
@@ -48,6 +53,20 @@
   observe::LatencyHistogram m_wait;
 };
 
+/// Scheduling of a balancer's uplink, for hosts whose link has a limit.
+struct SteeringEgress {
+  explicit SteeringEgress(double link_mbps) : m_scheduler(link_mbps) {}
+
+  EgressScheduler m_scheduler;
+  BulkAdmission m_bulk_admission;
+  /// Time that datagrams wait in the queue, indexed by `EgressClass`; those that are sent at once are not counted.
+  std::array<observe::LatencyHistogram, 2> m_queueing;
+  /// The pacing fiber sleeps on `m_queue_filled` while the queue is empty.
+  boost::fibers::mutex m_mutex;
+  boost::fibers::condition_variable m_queue_filled;
+  bool m_saturated = false;
+};
+
 /// The daemon around a `CookieSteering`: receives client packets and forwards them to targets, follows the state that
 /// control hosts publish, and reports its load to the other balancers. All of it runs in fibers of the thread that
 /// calls `Run`.
@@ -74,7 +93,8 @@
   void ServePackets();
   void HandleBatch(std::span<const io::IncomingDatagram> batch);
   void HandlePacket(TimePoint now, const io::IncomingDatagram& datagram);
-  void ApplyDecision(const CookiePacket& packet, std::span<std::byte> bytes, const SteeringDecision& decision);
+  void ApplyDecision(TimePoint now, const CookiePacket& packet, std::span<std::byte> bytes,
+                     const SteeringDecision& decision);
   void HoldPacket(TimePoint now, const CookiePacket& packet, std::span<const std::byte> bytes,
                   const SteeringDecision& decision);
   void ServeAdmissionQueue();
@@ -82,6 +102,18 @@
   void RefuseExcessPackets(TimePoint now);
   void UpdateTargetReachability(TimePoint now);
   void LogDecision(const CookiePacket& packet, const SteeringDecision& decision);
+  // True if the datagram is to be sent now; otherwise it waits in the queue of the uplink, or was dropped.
+  [[nodiscard]] bool OfferToLink(TimePoint now, const CookiePacket& packet, const Endpoint& target,
+                                 std::span<const std::byte> datagram);
+  void AccountReset(TimePoint now, const CookiePacket& packet, std::size_t bytes);
+  // The refusal of an opening packet whose flow would send more than the uplink can take in time; empty if there is
+  // none.
+  [[nodiscard]] std::optional<SteeringDecision> RefuseBulkFlow(const CookiePacket& packet);
+  [[nodiscard]] Duration ObjectiveOf(const Endpoint& service) const;
+  void ServeEgress();
+  void SendQueuedDatagrams(TimePoint now);
+  void LogLinkSaturation(TimePoint now);
+  void AddEgressMetrics();
   void ServeMessages();
   void HandleReply(TimePoint now, const SyncReply& reply);
   void PollControlHosts();
@@ -110,6 +142,8 @@
   std::vector<std::vector<std::byte>> m_reset_packets;
   std::chrono::steady_clock::time_point m_last_packet_at;
   AdmissionQueue m_admission_queue;
+  // Unset if the uplink needs no scheduling.
+  std::optional<SteeringEgress> m_egress;
   // Set while no target answers: the balancer is then not ready, so that routers send packets to other balancers.
   bool m_targets_unreachable = false;
   TimePoint m_unreachable_since;
--- a/src/balancer/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -127,8 +127,10 @@
 }
 
 void SteeringBalancer::SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload) {
+  const std::uint64_t bytes_before = m_message_socket->Counters().m_sent_bytes;
   // A failed send is ignored: the next message of the same type replaces this one.
   (void)m_message_socket->Send(EndpointOf(host, port), type, payload);
+  if (m_egress) m_egress->m_scheduler.Charge(Now(), m_message_socket->Counters().m_sent_bytes - bytes_before);
 }
 
 }  // namespace fighatch::daemon
--- a/src/balancer/steering_balancer_metrics.cc
+++ b/src/balancer/steering_balancer_metrics.cc
@@ -34,6 +34,7 @@
   counter("fighatch_steering_message_bytes_sent_total", "Bytes of messages sent.", messages.m_sent_bytes);
   counter("fighatch_steering_messages_received_total", "Messages received from other hosts.", messages.m_received);
   counter("fighatch_steering_message_bytes_received_total", "Bytes of messages received.", messages.m_received_bytes);
+  if (m_egress) AddEgressMetrics();
 }
 
 }  // namespace fighatch::daemon
