--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -5,7 +5,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <map>
 #include <optional>
@@ -98,7 +97,7 @@
   static constexpr std::size_t kMaxQueuedPackets = 4096;
   static constexpr std::size_t kMaxQueuedBytes = std::size_t{2} << 20;
   /// Beyond this, packets of further flows count as short, and sizes of further services are not learned.
-  static constexpr std::size_t kMaxFlows = 65536;
+  static constexpr std::size_t kMaxFlows = 16384;
   static constexpr std::size_t kMaxServices = 1024;
   /// The link counts as saturated after datagrams have waited without a break for this long.
   static constexpr Duration kSaturationTime = std::chrono::seconds(1);
@@ -191,7 +190,7 @@
     // Short packets in the queue, and the position that the last of them has there.
     std::size_t m_short_packets = 0;
     TimePoint m_short_position;
-    std::deque<QueuedPacket> m_bulk;
+    std::list<QueuedPacket> m_bulk;
     std::unordered_set<std::uint32_t> m_queued_sequences;
     // The key in `m_finish_limits`; set while the flow is in `m_on_time`.
     std::optional<TimePoint> m_finish_limit;
