--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -104,6 +104,8 @@
 
   /// `link_mbps` is the rate of the uplink in megabits per second, greater than 0.
   explicit EgressScheduler(double link_mbps);
+  EgressScheduler(const EgressScheduler&) = delete;
+  EgressScheduler& operator=(const EgressScheduler&) = delete;
 
   /// True if pacing makes a difference: the link has a limit, and a batch of `batch_packets` takes it longer than one
   /// pacing interval.
@@ -192,7 +194,9 @@
     TimePoint m_short_position;
     std::list<QueuedPacket> m_bulk;
     std::unordered_set<std::uint32_t> m_queued_sequences;
-    // The key in `m_finish_limits`; set while the flow is in `m_on_time`.
+    // The map of flows that the flow is in, if any, and its key in `m_finish_limits`. While bytes leave, the limit may
+    // become later than the key; it is computed anew when the time of the key has come.
+    FlowOrder* m_order = nullptr;
     std::optional<TimePoint> m_finish_limit;
     bool m_seen_opening = false;
     // The client has sent a packet without data since its last data: it has an answer.
--- a/src/balancer/steering_balancer_egress.cc
+++ b/src/balancer/steering_balancer_egress.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <mutex>
 #include <string>
+#include <utility>
 
 #include "balancer/steering_balancer.h"
 #include "daemon/clock.h"
@@ -63,10 +64,15 @@
 void SteeringBalancer::SendQueuedDatagrams(TimePoint now) {
   EgressScheduler& scheduler = m_egress->m_scheduler;
   scheduler.RemoveSilentFlows(now);
-  while (const std::optional<EgressDatagram> next = scheduler.Take(now)) {
+  std::vector<EgressDatagram> taken;
+  while (std::optional<EgressDatagram> next = scheduler.Take(now)) {
     m_egress->m_queueing[static_cast<std::size_t>(next->m_class)].Add(now - next->m_queued_at);
-    (void)m_packet_socket->Send(next->m_destination, next->m_bytes);
+    taken.push_back(std::move(*next));
   }
+  std::vector<io::OutgoingDatagram> outgoing;
+  outgoing.reserve(taken.size());
+  for (const EgressDatagram& datagram : taken) outgoing.push_back({datagram.m_destination, datagram.m_bytes});
+  if (!outgoing.empty()) m_packet_socket->Send(outgoing);
 }
 
 void SteeringBalancer::LogLinkSaturation(TimePoint now) {
--- a/src/steering/egress_scheduler.cc
+++ b/src/steering/egress_scheduler.cc
@@ -106,7 +106,7 @@
   QueuedPacket packet = std::move(flow->m_bulk.front());
   const std::size_t size = packet.m_datagram.m_bytes.size();
   flow->m_bulk.pop_front();
-  const bool is_late = m_late.contains({flow->m_started, flow->m_id});
+  const bool is_late = flow->m_order == &m_late;
   if (is_late) m_late_credit.Spend(size, !m_on_time.empty());
   if (!is_late && !m_late.empty()) m_late_credit.Earn(size);
   m_bulk_credit.Spend(size, !m_short.empty());
--- a/src/steering/egress_scheduler_flows.cc
+++ b/src/steering/egress_scheduler_flows.cc
@@ -119,40 +119,42 @@
 }
 
 void EgressScheduler::UpdateOrder(TimePoint now, Flow* flow) {
-  RemoveFromOrder(flow);
-  if (flow->m_bulk.empty()) return;
-  const FlowOrder::key_type key{flow->m_started, flow->m_id};
-  if (flow->m_short_packets > 0) {
-    m_blocked.emplace(key, flow);
-    return;
-  }
-  const Duration objective = flow->m_service != nullptr ? flow->m_service->m_objective : Duration(0);
-  if (objective <= Duration(0)) {
-    m_on_time.emplace(key, flow);
-    return;
+  FlowOrder* order = &m_on_time;
+  std::optional<TimePoint> limit;
+  if (flow->m_bulk.empty()) {
+    order = nullptr;
+  } else if (flow->m_short_packets > 0) {
+    // Its bulk data must not overtake the short packets.
+    order = &m_blocked;
+  } else if (flow->m_service != nullptr && flow->m_service->m_objective > Duration(0)) {
+    const Duration transmission = LinkTime(static_cast<double>(flow->m_remaining_bytes));
+    limit = flow->m_started + flow->m_service->m_objective - transmission;
+    if (*limit < now) order = &m_late;
   }
-  const TimePoint limit = flow->m_started + objective - LinkTime(static_cast<double>(flow->m_remaining_bytes));
-  if (limit < now) {
-    m_late.emplace(key, flow);
-    return;
-  }
-  m_on_time.emplace(key, flow);
-  m_finish_limits.emplace(FlowOrder::key_type{limit, flow->m_id}, flow);
+  const bool keeps_limit = order != &m_on_time || (limit.has_value() == flow->m_finish_limit.has_value() &&
+                                                   (!limit || *flow->m_finish_limit <= *limit));
+  if (order == flow->m_order && keeps_limit) return;
+  RemoveFromOrder(flow);
+  flow->m_order = order;
+  if (order == nullptr) return;
+  order->emplace(FlowOrder::key_type{flow->m_started, flow->m_id}, flow);
+  if (order != &m_on_time || !limit) return;
+  m_finish_limits.emplace(FlowOrder::key_type{*limit, flow->m_id}, flow);
   flow->m_finish_limit = limit;
 }
 
 void EgressScheduler::RemoveFromOrder(Flow* flow) {
-  const FlowOrder::key_type key{flow->m_started, flow->m_id};
-  m_on_time.erase(key);
-  m_late.erase(key);
-  m_blocked.erase(key);
+  if (flow->m_order != nullptr) flow->m_order->erase({flow->m_started, flow->m_id});
   if (flow->m_finish_limit) m_finish_limits.erase({*flow->m_finish_limit, flow->m_id});
+  flow->m_order = nullptr;
   flow->m_finish_limit.reset();
 }
 
 void EgressScheduler::MoveLateFlows(TimePoint now) {
   while (!m_finish_limits.empty() && m_finish_limits.begin()->first.first < now) {
-    UpdateOrder(now, m_finish_limits.begin()->second);
+    Flow* flow = m_finish_limits.begin()->second;
+    RemoveFromOrder(flow);
+    UpdateOrder(now, flow);
   }
 }
 
