Rename the token demand of lease messages

Cause: `lease_message.h` and `service_demand.h` both define `fighatch::ServiceDemand`. The umbrella header includes both, so that it does not compile, and programs that use one each break the rule of one definition.

Change: the one of lease messages is `TokenDemand`. Names are not part of the wire format.

--- a/include/fighatch/lease_message.h
+++ b/include/fighatch/lease_message.h
@@ -54,11 +54,11 @@
 };
 
 /// Requests of a service that wait for a token on the holder.
-struct ServiceDemand {
+struct TokenDemand {
   ServiceId m_service;
   std::uint32_t m_waiting = 0;
 
-  friend bool operator==(const ServiceDemand&, const ServiceDemand&) = default;
+  friend bool operator==(const TokenDemand&, const TokenDemand&) = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -87,7 +87,7 @@
   /// Members that the holder considers dead.
   std::vector<HostId> m_missing;
   std::vector<TargetUse> m_uses;
-  std::vector<ServiceDemand> m_demands;
+  std::vector<TokenDemand> m_demands;
 
   friend bool operator==(const LeaseRequest&, const LeaseRequest&) = default;
 
--- a/src/target/allowance_grantor.cc
+++ b/src/target/allowance_grantor.cc
@@ -283,7 +283,7 @@
   holder->m_members_digest = request.m_members_digest;
   holder->m_missing = request.m_missing;
   holder->m_waiting.clear();
-  for (const ServiceDemand& demand : request.m_demands) holder->m_waiting[demand.m_service] = demand.m_waiting;
+  for (const TokenDemand& demand : request.m_demands) holder->m_waiting[demand.m_service] = demand.m_waiting;
 }
 
 void AllowanceGrantor::ReconcileTokens(const LeaseRequest& request, Holder* holder, TimePoint now) {
