Exchange offered rates, and summaries of load between data centres

Cause: beyond 16 balancers load reports stay within a data centre, so that a balancer knows neither the flows nor the demand of the others, and slots are used up several times when room is short.

Change: messages `OfferedLoad` and `LoadSummary`, both with compact encoding, limits and a version; `LoadView`, which holds the load reports, offered rates and summaries of the others, makes the summary of the own data centre from what its own balancers reported, chooses recipients and answers with a `ServiceDemand`; `OfferedRateMeter` for the own rates. `CookieSteering` adds the flows of summaries to those of other balancers, and drops expired messages with each refresh of load counts instead of each `Tick` only. The daemon sends offered rates with the load reports, and summaries in a fiber of its own at the end of intervals that are numbered by the time of day, so that the balancers of a data centre choose different partners. A data centre with fewer balancers than another sends it more than one summary each; else some balancers of the larger one would miss several intervals.

--- a/include/fighatch/compact_archive.h
+++ b/include/fighatch/compact_archive.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <stdexcept>
+#include <string>
 #include <vector>
 
 namespace fighatch {
@@ -57,6 +58,17 @@
   SerializeList(archive, list, limit, [](Archive& items, T& item) { items(item); });
 }
 
+/// Serialises a text as its size (a variable-length integer) followed by its bytes. Throws `std::length_error` if it
+/// has more than `limit` bytes, before it reads or writes any of them.
+template <typename Archive>
+void SerializeText(Archive& archive, std::string& text, std::size_t limit) {
+  std::size_t size = text.size();
+  SerializeVarint(archive, size);
+  if (size > limit) throw std::length_error("text is too long");
+  if constexpr (!Archive::is_saving::value) text.resize(size);
+  for (char& character : text) archive(character);
+}
+
 }  // namespace fighatch
 
 #endif  // FIGHATCH_COMPACT_ARCHIVE_H_
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -13,6 +13,10 @@
 
 #include "fighatch/cookie_packet.h"
 #include "fighatch/error.h"
+#include "fighatch/load_summary.h"
+#include "fighatch/load_view.h"
+#include "fighatch/offered_load.h"
+#include "fighatch/offered_rate_meter.h"
 #include "fighatch/placed_flow_table.h"
 #include "fighatch/random.h"
 #include "fighatch/routing_state.h"
@@ -94,9 +98,11 @@
   bool Update(TimePoint now, const RoutingUpdate& update);
   /// Merges a target record from a control host; true if it was newer than the known record.
   bool Merge(TimePoint now, const TargetObservation& observation);
-  /// Takes the load report of another balancer; while the sender's last report has not expired, only a newer one is
+  /// Takes what another balancer says of load; while the sender's last message has not expired, only a newer one is
   /// accepted.
   void Receive(TimePoint now, const LoadReport& report);
+  void Receive(TimePoint now, const OfferedLoad& load) { m_view.Receive(now, load); }
+  void Receive(TimePoint now, const LoadSummary& summary);
   /// All balancers, this one included; they share the targets' capacity and the rate of new flows to cold targets.
   void SetBalancers(std::vector<HostId> balancers) { m_balancers = std::move(balancers); }
   void SetReportLag(Duration lag) { m_options.m_report_lag = lag; }
@@ -112,7 +118,7 @@
   /// `AdmissionQueue::kMaxWait`.
   [[nodiscard]] std::size_t WaitingLimit(TimePoint now) const;
 
-  /// Stops counting silent flows as load; call it every few tens of milliseconds.
+  /// Stops counting silent flows and expired messages as load; call it every few tens of milliseconds.
   void RefreshLoadCounts(TimePoint now);
 
   /// Removes idle flows, ended targets and expired reports; call it every few hundred milliseconds.
@@ -120,17 +126,18 @@
 
   /// The load report that tells the other balancers how many flows this one has open at each target.
   [[nodiscard]] LoadReport MakeReport();
+  /// What the clients of this balancer request, for the balancers that get its load reports.
+  [[nodiscard]] OfferedLoad MakeOfferedLoad(TimePoint now);
+  /// The load of this balancer's data centre, for balancers of the others.
+  [[nodiscard]] LoadSummary MakeSummary(TimePoint now);
 
+  /// What the other balancers have told, and whom to tell.
+  [[nodiscard]] LoadView& View() noexcept { return m_view; }
   [[nodiscard]] const PublishedState& State() const noexcept { return m_state; }
   [[nodiscard]] TargetTable& Targets() noexcept { return m_targets; }
   [[nodiscard]] std::size_t OpenFlows() const noexcept { return m_flows.Size(); }
 
  private:
-  struct ReceivedReport {
-    TimePoint m_received;
-    LoadReport m_report;
-  };
-
   // Reachability of a data centre, inferred from answers to opening packets.
   struct DataCentreHealth {
     std::uint32_t m_unanswered = 0;
@@ -166,6 +173,9 @@
   void SetCountsAsLoad(PlacedFlow* flow, bool counts_as_load);
   void RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed);
   void RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, SteeringTarget* target);
+  // Counts a new flow as offered to each service of its route, by their weights.
+  void CountOffered(TimePoint now, const CookiePacket& packet);
+  [[nodiscard]] std::vector<CookieLoad> OwnLoads() const;
   void SumReports();
 
   SteeringOptions m_options;
@@ -175,12 +185,14 @@
   TargetTable m_targets;
   PlacedFlowTable m_flows;
   std::vector<HostId> m_balancers;
-  std::map<HostId, ReceivedReport> m_reports;
+  LoadView m_view;
+  OfferedRateMeter m_offered_rates;
   std::unordered_map<std::string, double> m_service_processing_ms;
   // Times at which this balancer placed its latest flows, by service.
   std::unordered_map<std::string, std::deque<TimePoint>> m_recent_placements;
   std::map<std::string, DataCentreHealth> m_data_centres;
   std::uint64_t m_report_sequence = 0;
+  std::uint64_t m_offered_sequence = 0;
   TimePoint m_learning_until;
   std::optional<TimePoint> m_targets_unreachable_at;
 };
--- /dev/null
+++ b/include/fighatch/load_view.h
@@ -0,0 +1,143 @@
+#ifndef FIGHATCH_LOAD_VIEW_H_
+#define FIGHATCH_LOAD_VIEW_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "fighatch/ids.h"
+#include "fighatch/load_summary.h"
+#include "fighatch/offered_load.h"
+#include "fighatch/service_demand.h"
+#include "fighatch/sync_message.h"
+#include "fighatch/time.h"
+
+namespace fighatch {
+
+/// Settings of a `LoadView`.
+struct LoadViewOptions {
+  HostId m_self;
+  std::string m_data_centre;
+  /// A message expires this long after it was received.
+  Duration m_lifetime = std::chrono::milliseconds(600);
+};
+
+/// What a balancer knows of the load that the other balancers put on targets, and with whom it exchanges load. With few
+/// balancers each reports to all. With more, each reports to those of its data centre, and summaries carry the load of
+/// one data centre to the others. A summary holds only what balancers of its own data centre reported, so that no load
+/// is counted twice. While there is a summary of a data centre, single reports from there are not counted. It reads no
+/// clock: each call gets the time, and queries answer as of the last call with a time.
+class LoadView {
+ public:
+  /// With more balancers than this, each reports within its data centre only.
+  static constexpr std::size_t kMaxRecipientsAcrossDataCentres = 16;
+  /// Interval between messages of one kind for each recipient, so that a host's message rate does not grow with the
+  /// deployment.
+  static constexpr Duration kReportIntervalPerRecipient = std::chrono::milliseconds(5);
+  static constexpr Duration kMinReportInterval = std::chrono::milliseconds(20);
+  /// Without shortage of room, offered rates and summaries are sent in one of so many intervals.
+  static constexpr std::uint64_t kIntervalsPerExchange = 10;
+  /// For this long after a shortage of room has ended, they are still sent in each interval.
+  static constexpr Duration kShortagePeriod = std::chrono::seconds(2);
+  /// Limits on what is held; messages of further senders or data centres are ignored until others have expired.
+  static constexpr std::size_t kMaxSenders = 1024;
+  static constexpr std::size_t kMaxDataCentres = 64;
+
+  explicit LoadView(LoadViewOptions options) : m_options(std::move(options)) {}
+
+  /// All balancers, this one included.
+  void SetBalancers(const std::vector<BalancerPeer>& balancers);
+
+  /// Each takes a message; while the sender's last message has not expired, only a newer one is taken. Returns true if
+  /// it was taken.
+  bool Receive(TimePoint now, const LoadReport& report);
+  bool Receive(TimePoint now, const OfferedLoad& load);
+  bool Receive(TimePoint now, const LoadSummary& summary);
+
+  /// Removes what has expired; true if the flows of other balancers have changed. Call it every few tens of
+  /// milliseconds.
+  bool RemoveExpired(TimePoint now);
+
+  /// Flows that other balancers have at each target, by cookie.
+  [[nodiscard]] std::unordered_map<std::uint32_t, std::uint32_t> RemoteFlows() const;
+
+  /// Demand of the other balancers for a service. The time grows with the number of balancers: call it once an
+  /// interval rather than for each packet.
+  [[nodiscard]] ServiceDemand DemandOf(const std::string& service) const;
+
+  /// The summary of this balancer's data centre, given this balancer's own flows and offered rates.
+  [[nodiscard]] LoadSummary MakeSummary(const std::vector<CookieLoad>& own_loads,
+                                        const std::vector<OfferedRate>& own_rates);
+
+  /// The balancers that get this one's load reports and offered rates, and the interval between these messages.
+  [[nodiscard]] std::vector<HostId> ReportRecipients() const;
+  [[nodiscard]] Duration ReportInterval() const;
+
+  /// The balancers that get the summary which this one makes for an interval; empty while each balancer reports to all.
+  /// All balancers of a data centre must number the intervals alike: then each balancer of another data centre gets one
+  /// summary for each interval, from another sender than in the interval before.
+  [[nodiscard]] std::vector<HostId> SummaryRecipients(std::uint64_t interval) const;
+  /// The interval between summaries, which is the same for all balancers of a data centre.
+  [[nodiscard]] Duration SummaryInterval() const;
+
+  /// States whether any service is short of room.
+  void SetShortOfRoom(TimePoint now, bool is_short);
+  /// True if a service is short of room or was within `kShortagePeriod`.
+  [[nodiscard]] bool WasRecentlyShort(TimePoint now) const;
+
+  /// True if offered rates and summaries are sent for the interval.
+  [[nodiscard]] static constexpr bool IsExchangeDue(std::uint64_t interval, bool was_recently_short) noexcept {
+    return was_recently_short || interval % kIntervalsPerExchange == 0;
+  }
+
+ private:
+  template <typename Message>
+  struct Received {
+    TimePoint m_received;
+    Message m_message;
+  };
+  template <typename Message>
+  using BySender = std::map<HostId, Received<Message>>;
+  // When the last summary of a sender arrived, and its sequence.
+  struct SummaryMark {
+    TimePoint m_received;
+    std::uint64_t m_sequence = 0;
+  };
+
+  template <typename Message>
+  bool Take(TimePoint now, const Message& message, BySender<Message>* known);
+  // True if a message with the sequence `next` does not replace the one of the same sender with `last`.
+  [[nodiscard]] bool IsLate(TimePoint now, TimePoint received, std::uint64_t last, std::uint64_t next) const {
+    return next <= last && now - received < m_options.m_lifetime;
+  }
+  // The data centre of a balancer; null if it is unknown.
+  [[nodiscard]] const std::string* DataCentreOf(HostId host) const;
+  // True if the balancer is known to be in this one's data centre.
+  [[nodiscard]] bool IsLocal(HostId host) const;
+  // True unless a summary covers what the balancer reports.
+  [[nodiscard]] bool CountsDirectly(HostId host) const;
+  [[nodiscard]] const std::vector<HostId>& LocalBalancers() const;
+
+  LoadViewOptions m_options;
+  std::map<HostId, std::string> m_data_centre_of;
+  // Balancers by data centre, in ascending order.
+  std::map<std::string, std::vector<HostId>> m_members;
+  BySender<LoadReport> m_reports;
+  BySender<OfferedLoad> m_offered;
+  // The newest summary of each other data centre.
+  std::map<std::string, Received<LoadSummary>> m_summaries;
+  std::map<HostId, SummaryMark> m_summary_marks;
+  std::uint64_t m_sequence = 0;
+  bool m_is_short = false;
+  std::optional<TimePoint> m_short_until;
+};
+
+}  // namespace fighatch
+
+#endif  // FIGHATCH_LOAD_VIEW_H_
--- a/include/fighatch/messages.h
+++ b/include/fighatch/messages.h
@@ -58,6 +58,10 @@
   // 113 is retired: it was a sync reply whose routes carried no objective.
   kLoadReport = 114,
   kSyncReply = 115,
+
+  // Load that is exchanged between balancers beside the load reports.
+  kOfferedLoad = 116,
+  kLoadSummary = 117,
 };
 
 /// One row of the table of message types.
--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -105,6 +105,7 @@
   fibers.emplace_back([this] { ServeMessages(); });
   fibers.emplace_back([this] { PollControlHosts(); });
   fibers.emplace_back([this] { ReportLoad(); });
+  fibers.emplace_back([this] { SendSummaries(); });
   fibers.emplace_back([this] { ServeAdmissionQueue(); });
   fibers.emplace_back([this] { m_readiness_server->Serve(); });
   if (m_metrics_server) fibers.emplace_back([this] { m_metrics_server->Serve(); });
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -34,6 +34,8 @@
   std::uint64_t m_malformed = 0;
   std::uint64_t m_waited = 0;
   std::uint64_t m_refused_waiting = 0;
+  std::uint64_t m_summaries_sent = 0;
+  std::uint64_t m_summaries_received = 0;
 };
 
 /// Latency histograms of a `SteeringBalancer`, for the metrics.
@@ -85,8 +87,14 @@
   void ServeMessages();
   void HandleReply(TimePoint now, const SyncReply& reply);
   void PollControlHosts();
+  // Takes a load report, offered rates or a summary; logs a message that cannot be decoded.
+  template <typename Message>
+  void TakeLoad(TimePoint now, const Result<Message>& message);
+  // Sends load reports and offered rates.
   void ReportLoad();
-  [[nodiscard]] std::vector<HostId> LoadReportRecipients() const;
+  // Sends the load of this data centre to the others.
+  void SendSummaries();
+  void SendToBalancers(const std::vector<HostId>& hosts, MessageType type, const std::vector<std::byte>& payload);
   void AwaitStop(StopSignal* stop);
   void Drain();
   void LogContactAndReadiness(TimePoint now);
--- a/src/balancer/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -1,8 +1,8 @@
-// Messages of a balancer: to control hosts, whose state it follows, and load reports to other balancers.
+// Messages of a balancer: to control hosts, whose state it follows, and to other balancers about load.
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <boost/fiber/operations.hpp>
+#include <optional>
 #include <utility>
 
 #include "balancer/steering_balancer.h"
@@ -18,11 +18,13 @@
 // Intervals between requests to control hosts: without contact to them or while targets are unreachable, and otherwise.
 constexpr milliseconds kFastPollInterval{100};
 constexpr milliseconds kRegularPollInterval{500};
-// Interval between load reports for each recipient, so that a host's message rate does not grow with the deployment.
-constexpr milliseconds kReportIntervalPerRecipient{5};
-constexpr milliseconds kMinReportInterval{20};
-// With more balancers than this, load is reported within the data centre only.
-constexpr std::size_t kMaxRecipientsAcrossDataCentres = 16;
+
+// Numbers an interval by the time of day, since all balancers of a data centre must number the intervals alike.
+std::uint64_t NumberOfInterval(Duration since_epoch, Duration interval) {
+  return static_cast<std::uint64_t>(since_epoch / interval);
+}
+
+Duration TimeSinceEpoch() { return std::chrono::system_clock::now().time_since_epoch(); }
 
 }  // namespace
 
@@ -35,14 +37,23 @@
         if (IsOk(reply)) HandleReply(now, ValueOf(reply));
         if (!IsOk(reply)) LOG(WARNING) << "event=message_refused " << ToString(ErrorOf(reply));
       } else if (message.m_type == MessageType::kLoadReport) {
-        const Result<LoadReport> report = DecodeLoadReport(message.m_payload);
-        if (IsOk(report)) m_steering.Receive(now, ValueOf(report));
-        if (!IsOk(report)) LOG(WARNING) << "event=message_refused " << ToString(ErrorOf(report));
+        TakeLoad(now, DecodeLoadReport(message.m_payload));
+      } else if (message.m_type == MessageType::kOfferedLoad) {
+        TakeLoad(now, DecodeOfferedLoad(message.m_payload));
+      } else if (message.m_type == MessageType::kLoadSummary) {
+        ++m_counters.m_summaries_received;
+        TakeLoad(now, DecodeLoadSummary(message.m_payload));
       }
     }
   }
 }
 
+template <typename Message>
+void SteeringBalancer::TakeLoad(TimePoint now, const Result<Message>& message) {
+  if (IsOk(message)) m_steering.Receive(now, ValueOf(message));
+  if (!IsOk(message)) LOG(WARNING) << "event=message_refused " << ToString(ErrorOf(message));
+}
+
 void SteeringBalancer::HandleReply(TimePoint now, const SyncReply& reply) {
   m_sync_client.Receive(now, reply);
   if (reply.m_update && m_steering.Update(now, *reply.m_update)) {
@@ -63,6 +74,7 @@
   std::vector<HostId> balancers;
   for (const BalancerPeer& peer : m_sync_client.Balancers()) balancers.push_back(peer.m_host);
   m_steering.SetBalancers(std::move(balancers));
+  m_steering.View().SetBalancers(m_sync_client.Balancers());
   LogContactAndReadiness(now);
 }
 
@@ -95,37 +107,56 @@
   }
 }
 
-std::vector<HostId> SteeringBalancer::LoadReportRecipients() const {
-  const auto& balancers = m_sync_client.Balancers();
-  const bool all_data_centres = balancers.size() <= kMaxRecipientsAcrossDataCentres;
-  std::vector<HostId> recipients;
-  for (const BalancerPeer& peer : balancers) {
-    const bool in_scope = all_data_centres || peer.m_data_centre == m_settings.m_discovery.m_data_centre;
-    if (in_scope && peer.m_host != m_settings.m_discovery.Self()) recipients.push_back(peer.m_host);
-  }
-  return recipients;
-}
-
 void SteeringBalancer::ReportLoad() {
   while (!m_done) {
-    const std::vector<HostId> recipients = LoadReportRecipients();
-    m_steering.RefreshLoadCounts(Now());
+    const TimePoint now = Now();
+    const std::vector<HostId> recipients = m_steering.View().ReportRecipients();
+    const Duration interval = m_steering.View().ReportInterval();
+    m_steering.RefreshLoadCounts(now);
     const LoadReport report = m_steering.MakeReport();
     // One empty report after one with load tells the other balancers that the load has ended.
     if (!report.m_loads.empty() || m_last_report_nonempty) {
-      const std::vector<std::byte> payload = EncodeLoadReport(report);
-      for (const HostId host : recipients) {
-        SendTo(host, m_settings.m_discovery.m_balancer_message_port, MessageType::kLoadReport, payload);
-      }
+      SendToBalancers(recipients, MessageType::kLoadReport, EncodeLoadReport(report));
     }
     m_last_report_nonempty = !report.m_loads.empty();
-    const milliseconds scaled_interval = kReportIntervalPerRecipient * static_cast<std::int64_t>(recipients.size());
-    const milliseconds interval = std::max(kMinReportInterval, scaled_interval);
+    const bool was_short = m_steering.View().WasRecentlyShort(now);
+    if (LoadView::IsExchangeDue(NumberOfInterval(TimeSinceEpoch(), interval), was_short)) {
+      const OfferedLoad load = m_steering.MakeOfferedLoad(now);
+      const bool has_load = !load.m_rates.empty() || was_short;
+      if (has_load) SendToBalancers(recipients, MessageType::kOfferedLoad, EncodeOfferedLoad(load));
+    }
     m_steering.SetReportLag(interval);
     boost::this_fiber::sleep_for(interval);
   }
 }
 
+void SteeringBalancer::SendSummaries() {
+  std::optional<std::uint64_t> last_number;
+  while (!m_done) {
+    const Duration interval = m_steering.View().SummaryInterval();
+    const Duration started = TimeSinceEpoch();
+    const std::uint64_t number = NumberOfInterval(started, interval);
+    // At the end of an interval, when the messages of the same interval have arrived within the data centre.
+    boost::this_fiber::sleep_for(interval - started % interval);
+    // A time of day that is slowed down can lag behind the sleep.
+    if (m_done || number == last_number) continue;
+    last_number = number;
+    const TimePoint now = Now();
+    const std::vector<HostId> recipients = m_steering.View().SummaryRecipients(number);
+    const bool was_short = m_steering.View().WasRecentlyShort(now);
+    if (recipients.empty() || !LoadView::IsExchangeDue(number, was_short)) continue;
+    const LoadSummary summary = m_steering.MakeSummary(now);
+    if (summary.m_loads.empty() && summary.m_rates.empty() && !was_short) continue;
+    SendToBalancers(recipients, MessageType::kLoadSummary, EncodeLoadSummary(summary));
+    m_counters.m_summaries_sent += recipients.size();
+  }
+}
+
+void SteeringBalancer::SendToBalancers(const std::vector<HostId>& hosts, MessageType type,
+                                       const std::vector<std::byte>& payload) {
+  for (const HostId host : hosts) SendTo(host, m_settings.m_discovery.m_balancer_message_port, type, payload);
+}
+
 void SteeringBalancer::SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload) {
   // A failed send is ignored: the next message of the same type replaces this one.
   (void)m_message_socket->Send(EndpointOf(host, port), type, payload);
--- a/src/balancer/steering_balancer_metrics.cc
+++ b/src/balancer/steering_balancer_metrics.cc
@@ -15,6 +15,10 @@
   counter("fighatch_steering_waited_total", "Opening packets that had to wait.", m_counters.m_waited);
   counter("fighatch_steering_refused_waiting_total", "Waiting packets refused because too many wait.",
           m_counters.m_refused_waiting);
+  counter("fighatch_steering_load_summaries_sent_total", "Summaries of load sent to other data centres.",
+          m_counters.m_summaries_sent);
+  counter("fighatch_steering_load_summaries_received_total", "Summaries of load received from other data centres.",
+          m_counters.m_summaries_received);
   m_metrics.AddGauge("fighatch_steering_open_flows", "Flows open through this balancer.", {},
                      [this] { return static_cast<double>(m_steering.OpenFlows()); });
   m_metrics.AddGauge("fighatch_steering_state_index", "Index of the published state in force.", {},
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -53,10 +53,15 @@
 }  // namespace
 
 CookieSteering::CookieSteering(const SteeringOptions& options, std::unique_ptr<ChoiceStrategy> choice, Random random)
-    : m_options(options), m_choice(std::move(choice)), m_random(random) {}
+    : m_options(options),
+      m_choice(std::move(choice)),
+      m_random(random),
+      m_view({options.m_self, options.m_data_centre, options.m_report_lifetime}) {}
 
 SteeringDecision CookieSteering::Steer(TimePoint now, const CookiePacket& packet) {
-  return packet.m_opening ? PlaceFlow(now, packet, now - packet.m_age) : SteerByCookie(now, packet);
+  if (!packet.m_opening) return SteerByCookie(now, packet);
+  if (packet.m_retransmissions == 0) CountOffered(now, packet);
+  return PlaceFlow(now, packet, now - packet.m_age);
 }
 
 bool CookieSteering::Update(TimePoint now, const RoutingUpdate& update) {
@@ -209,6 +214,7 @@
     const Duration load_timeout = flow->m_established ? m_options.m_load_timeout : m_options.m_opening_load_timeout;
     if (now - flow->m_last_packet > load_timeout) SetCountsAsLoad(flow, false);
   });
+  if (m_view.RemoveExpired(now)) SumReports();
 }
 
 void CookieSteering::RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed) {
@@ -225,40 +231,54 @@
   AddSample(&target->m_processing_ms, sample);
 }
 
+void CookieSteering::CountOffered(TimePoint now, const CookiePacket& packet) {
+  const auto route = m_state.m_routing.m_routes.find(packet.m_endpoints.m_service);
+  if (route == m_state.m_routing.m_routes.end()) return;
+  const std::vector<WeightedService>& services = route->second.m_services;
+  const double total =
+      std::accumulate(services.begin(), services.end(), 0.0,
+                      [](double sum, const WeightedService& service) { return sum + service.m_weight; });
+  for (const WeightedService& service : services) {
+    if (service.m_weight == 0) continue;
+    m_offered_rates.Count(now, service.m_service, route->second.m_priority, service.m_weight / total);
+  }
+}
+
 void CookieSteering::Receive(TimePoint now, const LoadReport& report) {
-  ReceivedReport& known = m_reports[report.m_from];
-  const bool is_late =
-      report.m_sequence <= known.m_report.m_sequence && now - known.m_received < m_options.m_report_lifetime;
-  if (is_late) return;
-  known = {now, report};
-  SumReports();
+  if (m_view.Receive(now, report)) SumReports();
 }
 
-void CookieSteering::SumReports() {
-  std::unordered_map<std::uint32_t, std::uint32_t> flows;
-  for (const auto& [host, received] : m_reports) {
-    for (const CookieLoad& load : received.m_report.m_loads) flows[load.m_cookie] += load.m_flows;
-  }
-  m_targets.SetRemoteFlows(flows);
+void CookieSteering::Receive(TimePoint now, const LoadSummary& summary) {
+  if (m_view.Receive(now, summary)) SumReports();
 }
 
+void CookieSteering::SumReports() { m_targets.SetRemoteFlows(m_view.RemoteFlows()); }
+
 void CookieSteering::Tick(TimePoint now) {
   for (const PlacedFlow& flow : m_flows.RemoveIdle(now, m_options.m_idle_timeout)) RecordFlowEnd(now, flow, false);
-  const auto erased = std::erase_if(
-      m_reports, [&](const auto& entry) { return now - entry.second.m_received > m_options.m_report_lifetime; });
-  if (erased > 0) SumReports();
+  if (m_view.RemoveExpired(now)) SumReports();
   m_targets.RemoveExpired(now);
 }
 
-LoadReport CookieSteering::MakeReport() {
-  LoadReport report{m_options.m_self, ++m_report_sequence, {}};
+std::vector<CookieLoad> CookieSteering::OwnLoads() const {
+  std::vector<CookieLoad> loads;
   constexpr std::uint32_t kMaxReportedFlows = std::numeric_limits<std::uint16_t>::max();
   for (const auto& [id, target] : m_targets.All()) {
     if (target.m_open_flows == 0) continue;
-    report.m_loads.push_back(
-        {CookieOf(id), static_cast<std::uint16_t>(std::min(target.m_open_flows, kMaxReportedFlows))});
+    loads.push_back({CookieOf(id), static_cast<std::uint16_t>(std::min(target.m_open_flows, kMaxReportedFlows))});
   }
-  return report;
+  return loads;
+}
+
+LoadReport CookieSteering::MakeReport() { return {m_options.m_self, ++m_report_sequence, OwnLoads()}; }
+
+OfferedLoad CookieSteering::MakeOfferedLoad(TimePoint now) {
+  return {kOfferedLoadVersion, m_options.m_self, ++m_offered_sequence, m_offered_rates.Rates(now)};
+}
+
+LoadSummary CookieSteering::MakeSummary(TimePoint now) {
+  if (m_view.RemoveExpired(now)) SumReports();
+  return m_view.MakeSummary(OwnLoads(), m_offered_rates.Rates(now));
 }
 
 }  // namespace fighatch
--- a/src/wire/messages.cc
+++ b/src/wire/messages.cc
@@ -39,6 +39,8 @@
     {MessageType::kSyncRequest, "sync_request"},
     {MessageType::kLoadReport, "load_report"},
     {MessageType::kSyncReply, "sync_reply"},
+    {MessageType::kOfferedLoad, "offered_load"},
+    {MessageType::kLoadSummary, "load_summary"},
 });
 
 const MessageTypeName* Find(MessageType type) noexcept {
