--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -126,7 +127,8 @@
 
   /// The load report that tells the other balancers how many flows this one has open at each target.
   [[nodiscard]] LoadReport MakeReport();
-  /// What the clients of this balancer request, for the balancers that get its load reports.
+  /// What the clients of this balancer request of services with several priorities, for the balancers that get its load
+  /// reports.
   [[nodiscard]] OfferedLoad MakeOfferedLoad(TimePoint now);
   /// The load of this balancer's data centre, for balancers of the others.
   [[nodiscard]] LoadSummary MakeSummary(TimePoint now);
@@ -173,7 +175,10 @@
   void SetCountsAsLoad(PlacedFlow* flow, bool counts_as_load);
   void RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed);
   void RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, SteeringTarget* target);
-  // Counts a new flow as offered to each service of its route, by their weights.
+  // Finds the services whose routes have at least two priorities.
+  void IndexPriorities();
+  // Counts a new flow as offered to each service of its route, by their weights. Only services with several priorities
+  // are counted: rates matter where one priority gives way to another.
   void CountOffered(TimePoint now, const CookiePacket& packet);
   [[nodiscard]] std::vector<CookieLoad> OwnLoads() const;
   void SumReports();
@@ -187,6 +192,7 @@
   std::vector<HostId> m_balancers;
   LoadView m_view;
   OfferedRateMeter m_offered_rates;
+  std::set<std::string> m_prioritised_services;
   std::unordered_map<std::string, double> m_service_processing_ms;
   // Times at which this balancer placed its latest flows, by service.
   std::unordered_map<std::string, std::deque<TimePoint>> m_recent_placements;
--- a/include/fighatch/load_summary.h
+++ b/include/fighatch/load_summary.h
@@ -33,7 +33,7 @@
   std::uint64_t m_sequence = 0;
   /// Number of balancers whose offered rates are included, the sender among them.
   std::uint32_t m_balancers = 0;
-  /// Flows in progress by target.
+  /// Flows in progress by target; empty unless the sender was recently short of room.
   std::vector<CookieLoad> m_loads;
   std::vector<OfferedRate> m_rates;
 
@@ -49,7 +49,7 @@
       items(load.m_cookie);
       SerializeVarint(items, load.m_flows);
     });
-    SerializeList(archive, m_rates, kMaxOfferedRates);
+    SerializeRates(archive, m_rates);
   }
 };
 
--- a/include/fighatch/load_view.h
+++ b/include/fighatch/load_view.h
@@ -71,8 +71,9 @@
   /// interval rather than for each packet.
   [[nodiscard]] ServiceDemand DemandOf(const std::string& service) const;
 
-  /// The summary of this balancer's data centre, given this balancer's own flows and offered rates.
-  [[nodiscard]] LoadSummary MakeSummary(const std::vector<CookieLoad>& own_loads,
+  /// The summary of this balancer's data centre, given this balancer's own flows and offered rates. Flows are left out
+  /// unless a service was recently short of room: most requests end before the next summary without shortage arrives.
+  [[nodiscard]] LoadSummary MakeSummary(TimePoint now, const std::vector<CookieLoad>& own_loads,
                                         const std::vector<OfferedRate>& own_rates);
 
   /// The balancers that get this one's load reports and offered rates, and the interval between these messages.
--- a/include/fighatch/offered_load.h
+++ b/include/fighatch/offered_load.h
@@ -32,23 +32,31 @@
   double m_flows_per_second = 0;
 
   friend bool operator==(const OfferedRate&, const OfferedRate&) = default;
+};
 
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    SerializeText(archive, m_service, kMaxServiceNameBytes);
-    SerializeVarint(archive, m_priority);
+/// Serialises rates as a list of service, priority and units; an empty service stands for the one of the rate before.
+/// Throws `std::length_error` if the list or a name exceeds its limit.
+template <typename Archive>
+void SerializeRates(Archive& archive, std::vector<OfferedRate>& rates) {
+  std::string previous;
+  SerializeList(archive, rates, kMaxOfferedRates, [&previous](Archive& items, OfferedRate& rate) {
+    std::string service = rate.m_service == previous ? std::string() : rate.m_service;
     std::uint32_t units = 0;
     if constexpr (Archive::is_saving::value) {
       // `max` with 0 as its first argument also replaces a value that is not a number.
-      const double rate = std::min(std::max(0.0, m_flows_per_second), kMaxFlowsPerSecond);
-      units = static_cast<std::uint32_t>(std::lround(rate * kUnitsPerFlow));
+      const double flows = std::min(std::max(0.0, rate.m_flows_per_second), OfferedRate::kMaxFlowsPerSecond);
+      units = static_cast<std::uint32_t>(std::lround(flows * OfferedRate::kUnitsPerFlow));
     }
-    SerializeVarint(archive, units);
+    SerializeText(items, service, kMaxServiceNameBytes);
+    SerializeVarint(items, rate.m_priority);
+    SerializeVarint(items, units);
     if constexpr (!Archive::is_saving::value) {
-      m_flows_per_second = std::min(units / kUnitsPerFlow, kMaxFlowsPerSecond);
+      rate.m_service = service.empty() ? previous : service;
+      rate.m_flows_per_second = std::min(units / OfferedRate::kUnitsPerFlow, OfferedRate::kMaxFlowsPerSecond);
     }
-  }
-};
+    previous = rate.m_service;
+  });
+}
 
 /// The version of `OfferedLoad` that this program sends and accepts.
 inline constexpr std::uint8_t kOfferedLoadVersion = 1;
@@ -71,7 +79,7 @@
   void serialize(Archive& archive) {
     archive(m_version, m_from);
     SerializeVarint(archive, m_sequence);
-    SerializeList(archive, m_rates, kMaxOfferedRates);
+    SerializeRates(archive, m_rates);
   }
 };
 
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -68,9 +68,21 @@
   const bool is_first = m_state.m_index == 0;
   if (!ApplyUpdate(update, &m_state)) return false;
   if (is_first) m_learning_until = now + m_options.m_learning_period;
+  IndexPriorities();
   return true;
 }
 
+void CookieSteering::IndexPriorities() {
+  std::map<std::string, std::uint32_t> first_priority;
+  m_prioritised_services.clear();
+  for (const auto& [address, route] : m_state.m_routing.m_routes) {
+    for (const WeightedService& service : route.m_services) {
+      const auto [known, is_new] = first_priority.try_emplace(service.m_service, route.m_priority);
+      if (known->second != route.m_priority) m_prioritised_services.insert(service.m_service);
+    }
+  }
+}
+
 bool CookieSteering::Merge(TimePoint now, const TargetObservation& observation) {
   AnnouncedTarget record = observation.m_record;
   record.m_cold_left_ms -= std::min(record.m_cold_left_ms, observation.m_age_ms);
@@ -232,6 +244,7 @@
 }
 
 void CookieSteering::CountOffered(TimePoint now, const CookiePacket& packet) {
+  if (m_prioritised_services.empty()) return;
   const auto route = m_state.m_routing.m_routes.find(packet.m_endpoints.m_service);
   if (route == m_state.m_routing.m_routes.end()) return;
   const std::vector<WeightedService>& services = route->second.m_services;
@@ -239,7 +252,7 @@
       std::accumulate(services.begin(), services.end(), 0.0,
                       [](double sum, const WeightedService& service) { return sum + service.m_weight; });
   for (const WeightedService& service : services) {
-    if (service.m_weight == 0) continue;
+    if (service.m_weight == 0 || !m_prioritised_services.contains(service.m_service)) continue;
     m_offered_rates.Count(now, service.m_service, route->second.m_priority, service.m_weight / total);
   }
 }
@@ -278,7 +291,7 @@
 
 LoadSummary CookieSteering::MakeSummary(TimePoint now) {
   if (m_view.RemoveExpired(now)) SumReports();
-  return m_view.MakeSummary(OwnLoads(), m_offered_rates.Rates(now));
+  return m_view.MakeSummary(now, OwnLoads(), m_offered_rates.Rates(now));
 }
 
 }  // namespace fighatch
--- a/src/steering/load_view.cc
+++ b/src/steering/load_view.cc
@@ -102,6 +102,7 @@
 }
 
 bool LoadView::CountsDirectly(HostId host) const {
+  if (m_summaries.empty()) return true;
   const std::string* data_centre = DataCentreOf(host);
   return data_centre == nullptr || !m_summaries.contains(*data_centre);
 }
@@ -132,17 +133,20 @@
   return demand;
 }
 
-LoadSummary LoadView::MakeSummary(const std::vector<CookieLoad>& own_loads, const std::vector<OfferedRate>& own_rates) {
+LoadSummary LoadView::MakeSummary(TimePoint now, const std::vector<CookieLoad>& own_loads,
+                                  const std::vector<OfferedRate>& own_rates) {
   LoadSummary summary;
   summary.m_from = m_options.m_self;
   summary.m_data_centre = m_options.m_data_centre.substr(0, LoadSummary::kMaxDataCentreBytes);
   summary.m_sequence = ++m_sequence;
   summary.m_balancers = 1;
   SummaryBuilder builder;
-  builder.Add(own_loads);
   builder.Add(own_rates);
-  for (const auto& [host, received] : m_reports) {
-    if (IsLocal(host)) builder.Add(received.m_message.m_loads);
+  if (WasRecentlyShort(now)) {
+    builder.Add(own_loads);
+    for (const auto& [host, received] : m_reports) {
+      if (IsLocal(host)) builder.Add(received.m_message.m_loads);
+    }
   }
   for (const auto& [host, received] : m_offered) {
     if (!IsLocal(host)) continue;
