--- a/tests/load_view_simulation.h
+++ b/tests/load_view_simulation.h
@@ -26,6 +26,8 @@
   LoadView m_view;
   TimePoint m_next_report{};
   TimePoint m_next_summary{};
+  /// By how much the time of day of the host is wrong.
+  Duration m_clock_error{0};
   std::uint64_t m_sequence = 0;
   bool m_last_report_nonempty = false;
   std::vector<CookieLoad> m_loads{};
@@ -144,9 +146,11 @@
  private:
   static constexpr Duration kStep = milliseconds(1);
 
+  [[nodiscard]] Duration TimeOfDay(const Site& site) const { return m_now.time_since_epoch() + site.m_clock_error; }
+
   [[nodiscard]] TimePoint EndOfInterval(const Site& site) const {
     const Duration interval = site.m_view.SummaryInterval();
-    return TimePoint(interval * (m_now.time_since_epoch() / interval + 1));
+    return TimePoint(interval * (TimeOfDay(site) / interval + 1)) - site.m_clock_error;
   }
 
   [[nodiscard]] bool IsCut(const Site& site, HostId host) const {
@@ -174,7 +178,7 @@
     }
     site->m_last_report_nonempty = !report.m_loads.empty();
     site->m_next_report = m_now + interval;
-    const auto number = static_cast<std::uint64_t>(m_now.time_since_epoch() / interval);
+    const auto number = static_cast<std::uint64_t>(TimeOfDay(*site) / interval);
     if (!LoadView::IsExchangeDue(number, site->m_view.WasRecentlyShort(m_now))) return;
     const OfferedLoad load{kOfferedLoadVersion, site->m_peer.m_host, site->m_sequence, site->m_rates};
     Send(*site, hosts, load);
@@ -182,7 +186,7 @@
   }
 
   void Summarise(Site* site) {
-    const auto ended = static_cast<std::uint64_t>(m_now.time_since_epoch() / site->m_view.SummaryInterval()) - 1;
+    const auto ended = static_cast<std::uint64_t>(TimeOfDay(*site) / site->m_view.SummaryInterval()) - 1;
     site->m_next_summary = EndOfInterval(*site);
     const std::vector<HostId> hosts = site->m_view.SummaryRecipients(ended);
     if (!m_has_summaries || hosts.empty() || !LoadView::IsExchangeDue(ended, site->m_view.WasRecentlyShort(m_now)))
--- a/tests/load_view_test.cc
+++ b/tests/load_view_test.cc
@@ -76,6 +76,20 @@
   ASSERT_NO_FATAL_FAILURE(simulation.ExpectTruth());
 }
 
+// Guards against a host with a wrong clock that distorts the views of others for longer than one more interval.
+TEST(LoadViewTest, WrongClockDelaysSummariesByOneInterval) {
+  LoadViewSimulation simulation(65);
+  Site& site = simulation.m_sites[4];
+  site.m_clock_error = milliseconds(777777);
+  simulation.Start(&site);
+  for (int change = 0; change < 30; ++change) {
+    simulation.ChangeLoad();
+    simulation.Run(simulation.ViewInterval() + site.m_view.SummaryInterval());
+    ASSERT_NO_FATAL_FAILURE(simulation.ExpectTruth()) << change;
+    simulation.Run(milliseconds(change));
+  }
+}
+
 // The mean of the errors of all views, relative to the number of flows, while flows come and go.
 double ErrorOfViews(std::uint32_t balancers, bool has_summaries) {
   LoadViewSimulation simulation(balancers);
@@ -135,15 +149,18 @@
   simulation.Run(LoadView::kShortagePeriod);
   std::size_t reports = 0;
   std::size_t exchange = 0;
+  std::uint32_t most_balancers = 0;
   for (Site& site : simulation.m_sites) site.m_report_bytes = site.m_exchange_bytes = 0;
   for (int change = 0; change < 100; ++change) {
     simulation.ChangeLoad(100.0 / 65);
     simulation.Run(milliseconds(100));
+    most_balancers = std::max(most_balancers, simulation.m_sites[0].m_view.DemandOf(kService).m_balancers);
   }
   for (const Site& site : simulation.m_sites) {
     reports += site.m_report_bytes;
     exchange += site.m_exchange_bytes;
   }
+  EXPECT_EQ(most_balancers, 64U);
   RecordProperty("permille_of_reports", static_cast<int>(1000 * exchange / reports));
   EXPECT_LE(static_cast<double>(exchange), 0.1 * static_cast<double>(reports));
 }
