Merge the view of load across data centres

Cause: beyond 16 balancers a balancer knew nothing of the load that other data centres put on the targets.

--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -107,6 +107,7 @@
   fibers.emplace_back([this] { ServeMessages(); });
   fibers.emplace_back([this] { PollControlHosts(); });
   fibers.emplace_back([this] { ReportLoad(); });
+  fibers.emplace_back([this] { SendSummaries(); });
   fibers.emplace_back([this] { ServeAdmissionQueue(); });
   if (m_egress) fibers.emplace_back([this] { ServeEgress(); });
   fibers.emplace_back([this] { m_readiness_server->Serve(); });
