Move the checks of a ticket into a validator of their own

Cause: only control hosts could check a ticket, and an operator learned of a mistake from a refusal, of one reason at a time, or not at all where a part of an accepted ticket has no effect.

Change: TicketCheck holds the checks of TicketProcessor and gives all findings, each with code, severity, path of the field and text. TicketProcessor answers with the first error. New codes 3101 to 3109 are warnings: entries that never match and limits that contradict each other. They refuse no ticket. ControlReplica takes its limit of the encoded size from the validator, and the state and digests can be read back from their JSON form.

--- a/include/fighatch/error.h
+++ b/include/fighatch/error.h
@@ -10,8 +10,8 @@
 
 /// Numbered error codes. The number is stable: it appears in logs, metrics, HTTP headers and `docs/errors.md`.
 ///
-/// 1000s packets, 2000s settings, 3000s tickets, 4000s messages and keys, 5000s requests, 6000s storage and consensus,
-/// 7000s announcements, 8000s input and output.
+/// 1000s packets, 2000s settings, 3000s tickets (from 3101 warnings that do not refuse a ticket), 4000s messages and
+/// keys, 5000s requests, 6000s storage and consensus, 7000s announcements, 8000s input and output.
 enum class ErrorCode : std::uint16_t {
   kOk = 0,
 
@@ -49,6 +49,16 @@
   kTicketNoQuorum = 3010,
   kTicketOutcomeUnknown = 3011,
 
+  kTicketAddressUnmatchable = 3101,
+  kTicketPrefixHidden = 3102,
+  kTicketServiceHidden = 3103,
+  kTicketPathUnmatchable = 3104,
+  kTicketRemovalWithoutEffect = 3105,
+  kTicketWeightRepeated = 3106,
+  kTicketWeightWithoutTargets = 3107,
+  kTicketAdmissionWithoutWeight = 3108,
+  kTicketShareBelowSlot = 3109,
+
   kMessageTruncated = 4001,
   kMessageOversized = 4002,
   kMessageUnknownVersion = 4003,
--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -96,6 +96,7 @@
 #include "fighatch/target_registry.h"
 #include "fighatch/target_table.h"
 #include "fighatch/ticket.h"
+#include "fighatch/ticket_check.h"
 #include "fighatch/ticket_processor.h"
 #include "fighatch/time.h"
 #include "fighatch/transition.h"
--- a/include/fighatch/inner_packet.h
+++ b/include/fighatch/inner_packet.h
@@ -37,6 +37,10 @@
 /// The largest inner packet in bytes that is accepted.
 inline constexpr std::size_t kMaxInnerPacketBytes = 65535;
 
+/// True for an address that is neither the source nor the destination of a valid packet: unspecified, multicast or
+/// reserved.
+[[nodiscard]] bool IsUnusableAddress(const IpAddress& address);
+
 /// Parses an IPv4 or IPv6 packet that carries TCP or UDP. Errors: `kPacketTruncated`, `kPacketOversized`,
 /// `kPacketUnknownVersion`, `kPacketFragmented`, `kPacketUnknownProtocol`, `kPacketSpoofed`, `kPacketBadChecksum`
 /// (IPv4 header only: the target's kernel checks the transport checksum).
--- a/include/fighatch/ticket.h
+++ b/include/fighatch/ticket.h
@@ -53,6 +53,20 @@
   }
 };
 
+/// What is retained of an accepted ticket.
+struct AcceptedTicket {
+  TicketDigest m_digest{};
+  std::string m_author;
+  Version m_version;
+
+  friend bool operator==(const AcceptedTicket&, const AcceptedTicket&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_digest, m_author, m_version);
+  }
+};
+
 /// Parses the JSON form (comments allowed). Errors: `kTicketMalformed` with the path of the field and the reason,
 /// `kTicketTooLarge`.
 [[nodiscard]] Result<Ticket> ParseTicket(std::string_view text);
--- a/include/fighatch/ticket_processor.h
+++ b/include/fighatch/ticket_processor.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -14,6 +13,7 @@
 #include "fighatch/state_delta.h"
 #include "fighatch/state_document.h"
 #include "fighatch/ticket.h"
+#include "fighatch/ticket_check.h"
 
 namespace fighatch {
 
@@ -22,10 +22,6 @@
 /// accepted under the same number.
 inline constexpr std::size_t kMaxRetainedTickets = 1 << 18;
 
-/// Largest encoded ticket in bytes, since it is sent in one message of at most 64 KiB. This is above `kMaxTicketBytes`
-/// because short JSON objects grow when encoded.
-inline constexpr std::size_t kMaxEncodedTicketBytes = 56 * 1024;
-
 /// The answer to a ticket: `kOk` if it is accepted.
 struct TicketAnswer {
   TicketNumber m_number;
@@ -39,20 +35,6 @@
   friend bool operator==(const TicketAnswer&, const TicketAnswer&) = default;
 };
 
-/// What is retained of an accepted ticket.
-struct AcceptedTicket {
-  TicketDigest m_digest{};
-  std::string m_author;
-  Version m_version;
-
-  friend bool operator==(const AcceptedTicket&, const AcceptedTicket&) = default;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(m_digest, m_author, m_version);
-  }
-};
-
 /// The deterministic state machine that control hosts run over the replicated log: it checks tickets, applies them to
 /// the state and makes deltas for the hosts that follow it. Equal tickets in equal order give equal answers and equal
 /// state on every host.
@@ -120,18 +102,8 @@
     }
   };
 
-  // Each check gives the first reason to refuse the ticket; kOk if there is none.
-  [[nodiscard]] Error CheckStructure(const Ticket& ticket) const;
-  [[nodiscard]] Error CheckNumbers(const Ticket& ticket) const;
-  [[nodiscard]] Error CheckDataCentreNames(const Ticket& ticket) const;
-  [[nodiscard]] Error CheckAddresses(const Ticket& ticket) const;
-  [[nodiscard]] Error CheckDataCentresInService(const Ticket& ticket) const;
+  // The reason to refuse the ticket; kOk if there is none.
   [[nodiscard]] Error Check(const Ticket& ticket) const;
-  // The service or data centre as it would be after the ticket; null if there would be none.
-  [[nodiscard]] const Service* ServiceAfter(const Ticket& ticket, const std::string& name) const;
-  [[nodiscard]] const DataCentre* DataCentreAfter(const Ticket& ticket, const std::string& name) const;
-  // True if the service has weights of known data centres and none of them is in with a weight above zero.
-  [[nodiscard]] bool HasNoDataCentreInService(const Ticket& ticket, const Service& service) const;
 
   void ApplyToState(const Ticket& ticket, Version version);
   void SetService(const Ticket& ticket, const Service& service);
@@ -145,8 +117,8 @@
   [[nodiscard]] std::uint64_t Digest() const;
 
   SnapshotData m_data;
-  // Names of the services at each address: more than one only where a ticket was forced.
-  std::map<ServiceAddress, std::set<std::string>> m_address_owners;
+  // The owners of the addresses of the state, kept so that a check does not visit all services.
+  AddressOwners m_address_owners;
   // Digest of the state, computed at the first use after a change.
   mutable std::optional<std::uint64_t> m_digest;
 };
--- a/src/control/control_replica.cc
+++ b/src/control/control_replica.cc
@@ -53,8 +53,9 @@
 TicketAnswer ControlReplica::Submit(const Ticket& ticket) {
   if (const std::optional<TicketAnswer> known = Processor().Find(ticket.m_number, DigestOf(ticket))) return *known;
   std::string payload = ToText(wire::Encode(ticket));
-  if (payload.size() > kMaxEncodedTicketBytes) {
-    return {ticket.m_number, ErrorCode::kTicketTooLarge, std::to_string(payload.size()) + " bytes encoded", {}, {}};
+  const Error size_error = CheckEncodedTicketSize(payload.size());
+  if (size_error.m_code != ErrorCode::kOk) {
+    return {ticket.m_number, size_error.m_code, size_error.m_detail, {}, {}};
   }
   Result<std::any> submitted = m_log.Submit(std::move(payload));
   if (!IsOk(submitted)) {
--- a/src/packet/inner_packet.cc
+++ b/src/packet/inner_packet.cc
@@ -63,13 +63,6 @@
   return FoldChecksum(SumWords(segment, sum));
 }
 
-bool IsUnusableAddress(const IpAddress& address) {
-  if (!address.IsV4()) return address.m_bytes[0] == 0xFF || address == IpAddress{};
-  const std::uint32_t v4 = address.ToV4();
-  const bool multicast_or_reserved = (v4 >> 28U) >= 0xEU;
-  return v4 == 0 || multicast_or_reserved;
-}
-
 Result<IpHeader> ParseIpv4(std::span<const std::byte> bytes) {
   if (bytes.size() < sizeof(iphdr)) return MakeError(ErrorCode::kPacketTruncated, "ipv4 header");
   const auto header = Load<iphdr>(bytes);
@@ -172,6 +165,13 @@
 
 }  // namespace
 
+bool IsUnusableAddress(const IpAddress& address) {
+  if (!address.IsV4()) return address.m_bytes[0] == 0xFF || address == IpAddress{};
+  const std::uint32_t v4 = address.ToV4();
+  const bool multicast_or_reserved = (v4 >> 28U) >= 0xEU;
+  return v4 == 0 || multicast_or_reserved;
+}
+
 Result<InnerPacket> ParseInnerPacket(std::span<const std::byte> bytes) {
   Result<IpHeader> ip = ParseIp(bytes);
   if (!IsOk(ip)) return ErrorOf(ip);
--- a/src/state/state_json.h
+++ b/src/state/state_json.h
@@ -16,10 +16,15 @@
 [[nodiscard]] nlohmann::ordered_json DataCentreToJson(const DataCentre& data_centre);
 /// The whole state with its version, as `GET /v1/state` shows it.
 [[nodiscard]] nlohmann::ordered_json StateToJson(const StateDocument& state);
+/// Reads what `StateToJson` wrote. The JSON form has no record of ids that are no longer in use: the highest ids in use
+/// count as the last ones assigned. Errors: those of `config::ObjectReader`.
+[[nodiscard]] Result<StateDocument> StateFromJson(const nlohmann::json& json);
 /// The answer to a ticket, as `POST /v1/tickets` gives it.
 [[nodiscard]] nlohmann::ordered_json AnswerToJson(const TicketAnswer& answer);
 /// The digest in hexadecimal digits.
 [[nodiscard]] std::string DigestToHex(const TicketDigest& digest);
+/// Reads what `DigestToHex` wrote. Errors: `kMessageMalformed`.
+[[nodiscard]] Result<TicketDigest> DigestFromHex(const std::string& text);
 
 }  // namespace fighatch
 
--- a/src/state/ticket.cc
+++ b/src/state/ticket.cc
@@ -5,6 +5,7 @@
 #include <bit>
 
 #include "config/json_reader.h"
+#include "state/ticket_reader.h"
 #include "wire/codec.h"
 
 namespace fighatch {
@@ -48,6 +49,8 @@
   out->m_prefix = ValueOf(cidr);
 }
 
+}  // namespace
+
 void ReadService(ObjectReader& reader, Service* out) {
   reader.Text("name", &out->m_name);
   if (out->m_name.empty()) reader.Fail(ErrorCode::kSettingsOutOfRange, "name", "empty");
@@ -79,13 +82,11 @@
   out->m_state = state == "out" ? DataCentreState::kOut : DataCentreState::kIn;
 }
 
-}  // namespace
-
-Result<Ticket> ParseTicket(std::string_view text) {
+Result<Ticket> ReadTicket(std::string_view text) {
   if (text.size() > kMaxTicketBytes)
     return MakeError(ErrorCode::kTicketTooLarge, std::to_string(text.size()) + " bytes");
   const Result<nlohmann::json> json = config::ParseJson(text);
-  if (!IsOk(json)) return MakeError(ErrorCode::kTicketMalformed, ToString(ErrorOf(json)));
+  if (!IsOk(json)) return ErrorOf(json);
   Ticket ticket;
   ObjectReader reader(ValueOf(json), "");
   reader.Unsigned("number", 1, kMaxTicketNumber, &ticket.m_number.m_value);
@@ -97,10 +98,16 @@
       "data_centres", [&ticket](ObjectReader& item) { ReadDataCentre(item, &ticket.m_data_centres.emplace_back()); });
   reader.OptionalTextList("removed_services", &ticket.m_removed_services);
   const Status status = reader.Finish();
-  if (!IsOk(status)) return MakeError(ErrorCode::kTicketMalformed, ToString(ErrorOf(status)));
+  if (!IsOk(status)) return ErrorOf(status);
   return ticket;
 }
 
+Result<Ticket> ParseTicket(std::string_view text) {
+  Result<Ticket> ticket = ReadTicket(text);
+  if (IsOk(ticket) || ErrorOf(ticket).m_code == ErrorCode::kTicketTooLarge) return ticket;
+  return MakeError(ErrorCode::kTicketMalformed, ToString(ErrorOf(ticket)));
+}
+
 TicketDigest DigestOf(const Ticket& ticket) {
   const std::vector<std::byte> encoded = wire::Encode(ticket);
   TicketDigest digest{};
--- a/src/state/ticket_processor.cc
+++ b/src/state/ticket_processor.cc
@@ -1,36 +1,12 @@
 #include "fighatch/ticket_processor.h"
 
 #include <algorithm>
-#include <limits>
+#include <set>
+#include <string_view>
 
 #include "wire/codec.h"
 
 namespace fighatch {
-namespace {
-
-template <typename Objects>
-bool HasDuplicateNames(const Objects& objects) {
-  std::set<std::string_view> names;
-  return std::any_of(objects.begin(), objects.end(),
-                     [&names](const auto& object) { return !names.insert(object.m_name).second; });
-}
-
-bool HasAddress(const Service& service, const ServiceAddress& address) {
-  return std::find(service.m_addresses.begin(), service.m_addresses.end(), address) != service.m_addresses.end();
-}
-
-bool Removes(const Ticket& ticket, const std::string& name) {
-  const std::vector<std::string>& removed = ticket.m_removed_services;
-  return std::find(removed.begin(), removed.end(), name) != removed.end();
-}
-
-Error NumberTooLowError(const std::string& object, TicketNumber in_force) {
-  return MakeError(ErrorCode::kTicketNumberTooLow,
-                   object + " was set by ticket " + std::to_string(in_force.m_value) + "; use a higher number");
-}
-
-}  // namespace
-
 TicketAnswer TicketProcessor::Apply(const Ticket& ticket, Version version) {
   const TicketDigest digest = DigestOf(ticket);
   if (const std::optional<TicketAnswer> known = Find(ticket.m_number, digest)) return *known;
@@ -49,160 +25,19 @@
 std::optional<TicketAnswer> TicketProcessor::Find(TicketNumber number, const TicketDigest& digest) const {
   const AcceptedTicket* accepted = FindAccepted(number);
   if (accepted == nullptr) return std::nullopt;
-  TicketAnswer answer{number, ErrorCode::kOk, {}, accepted->m_digest, accepted->m_version};
-  if (accepted->m_digest != digest) {
-    answer.m_code = ErrorCode::kTicketNumberConflict;
-    answer.m_detail = "ticket " + std::to_string(number.m_value) + " by " + accepted->m_author +
-                      " was accepted at generation " + std::to_string(accepted->m_version.m_generation) +
-                      "; use another number";
-  }
-  return answer;
+  const Error error = CheckNumberConflict(number, digest, *accepted);
+  return TicketAnswer{number, error.m_code, error.m_detail, accepted->m_digest, accepted->m_version};
 }
 
 Error TicketProcessor::Check(const Ticket& ticket) const {
-  for (const auto check : {&TicketProcessor::CheckStructure, &TicketProcessor::CheckNumbers}) {
-    Error error = (this->*check)(ticket);
-    if (error.m_code != ErrorCode::kOk) return error;
-  }
-  if (ticket.m_force) return {};
-  for (const auto check : {&TicketProcessor::CheckDataCentreNames, &TicketProcessor::CheckAddresses,
-                           &TicketProcessor::CheckDataCentresInService}) {
-    Error error = (this->*check)(ticket);
-    if (error.m_code != ErrorCode::kOk) return error;
-  }
-  return {};
-}
-
-Error TicketProcessor::CheckStructure(const Ticket& ticket) const {
-  if (HasDuplicateNames(ticket.m_services)) return MakeError(ErrorCode::kTicketMalformed, "services: duplicate name");
-  if (HasDuplicateNames(ticket.m_data_centres)) {
-    return MakeError(ErrorCode::kTicketMalformed, "data_centres: duplicate name");
-  }
-  for (const Service& service : ticket.m_services) {
-    if (Removes(ticket, service.m_name)) {
-      return MakeError(ErrorCode::kTicketMalformed, "service " + service.m_name + " is both set and removed");
-    }
-  }
-  constexpr std::size_t kMaxDataCentreId = std::numeric_limits<std::uint16_t>::max();
-  if (m_data.m_state.m_last_data_centre_id + ticket.m_data_centres.size() > kMaxDataCentreId) {
-    return MakeError(ErrorCode::kTicketMalformed, "data_centres: all ids are used up");
-  }
-  return {};
-}
-
-Error TicketProcessor::CheckNumbers(const Ticket& ticket) const {
-  const TicketNumber number = ticket.m_number;
-  if (number <= m_data.m_evicted_up_to) return NumberTooLowError("a ticket that is no longer remembered", number);
-  if (m_data.m_accepted.size() >= kMaxRetainedTickets && number < m_data.m_accepted.begin()->first) {
-    return NumberTooLowError("a ticket that is about to be forgotten", m_data.m_accepted.begin()->first);
-  }
-  const StateDocument& state = m_data.m_state;
-  const auto set_by = [&state](const std::string& name) {
-    const auto found = state.m_services.find(name);
-    return found == state.m_services.end() ? TicketNumber{} : found->second.m_ticket;
-  };
-  for (const std::string& name : ticket.m_removed_services) {
-    if (set_by(name) > number) return NumberTooLowError("service " + name, set_by(name));
-  }
-  for (const Service& service : ticket.m_services) {
-    if (set_by(service.m_name) > number) return NumberTooLowError("service " + service.m_name, set_by(service.m_name));
-    const auto removed = m_data.m_removal_tickets.find(service.m_name);
-    if (removed != m_data.m_removal_tickets.end() && removed->second > number) {
-      return NumberTooLowError("removed service " + service.m_name, removed->second);
-    }
-  }
-  for (const DataCentre& data_centre : ticket.m_data_centres) {
-    const auto found = state.m_data_centres.find(data_centre.m_name);
-    if (found != state.m_data_centres.end() && found->second.m_ticket > number) {
-      return NumberTooLowError("data centre " + data_centre.m_name, found->second.m_ticket);
-    }
-  }
-  return {};
-}
-
-const Service* TicketProcessor::ServiceAfter(const Ticket& ticket, const std::string& name) const {
-  for (const Service& service : ticket.m_services) {
-    if (service.m_name == name) return &service;
-  }
-  if (Removes(ticket, name)) return nullptr;
-  const auto found = m_data.m_state.m_services.find(name);
-  return found == m_data.m_state.m_services.end() ? nullptr : &found->second;
-}
-
-const DataCentre* TicketProcessor::DataCentreAfter(const Ticket& ticket, const std::string& name) const {
-  for (const DataCentre& data_centre : ticket.m_data_centres) {
-    if (data_centre.m_name == name) return &data_centre;
-  }
-  const auto found = m_data.m_state.m_data_centres.find(name);
-  return found == m_data.m_state.m_data_centres.end() ? nullptr : &found->second;
-}
-
-Error TicketProcessor::CheckDataCentreNames(const Ticket& ticket) const {
-  const auto unknown = [](const Service& service, const std::string& name) {
-    return MakeError(ErrorCode::kTicketUnknownDataCentre,
-                     "service " + service.m_name + " names the unknown data centre " + name);
-  };
-  for (const Service& service : ticket.m_services) {
-    for (const DataCentreWeight& weight : service.m_weights) {
-      if (DataCentreAfter(ticket, weight.m_data_centre) == nullptr) return unknown(service, weight.m_data_centre);
-    }
-    for (const AdmissionRule& rule : service.m_admission) {
-      if (DataCentreAfter(ticket, rule.m_data_centre) == nullptr) return unknown(service, rule.m_data_centre);
-    }
-  }
-  return {};
-}
-
-Error TicketProcessor::CheckAddresses(const Ticket& ticket) const {
-  const auto conflict = [](const ServiceAddress& address, const std::string& left, const std::string& right) {
-    return MakeError(ErrorCode::kTicketAddressConflict,
-                     ToString(address.m_endpoint) + " is claimed by " + left + " and " + right);
-  };
-  std::map<ServiceAddress, std::string> claimed;
-  for (const Service& service : ticket.m_services) {
-    for (const ServiceAddress& address : service.m_addresses) {
-      const auto [claim, is_new] = claimed.emplace(address, service.m_name);
-      if (!is_new) return conflict(address, service.m_name, claim->second);
-      const auto owners = m_address_owners.find(address);
-      if (owners == m_address_owners.end()) continue;
-      for (const std::string& owner : owners->second) {
-        const Service* after = owner == service.m_name ? nullptr : ServiceAfter(ticket, owner);
-        if (after != nullptr && HasAddress(*after, address)) return conflict(address, service.m_name, owner);
-      }
-    }
-  }
-  return {};
-}
-
-bool TicketProcessor::HasNoDataCentreInService(const Ticket& ticket, const Service& service) const {
-  bool has_known = false;
-  for (const DataCentreWeight& weight : service.m_weights) {
-    const DataCentre* data_centre = DataCentreAfter(ticket, weight.m_data_centre);
-    if (data_centre == nullptr) continue;
-    if (data_centre->m_state == DataCentreState::kIn && weight.m_weight > 0) return false;
-    has_known = true;
-  }
-  return has_known;
-}
-
-Error TicketProcessor::CheckDataCentresInService(const Ticket& ticket) const {
-  const auto is_out = [](const DataCentre& data_centre) { return data_centre.m_state == DataCentreState::kOut; };
-  const auto none_in_service = [](const std::string& object) {
-    return MakeError(ErrorCode::kTicketAllDataCentresOut, object + " would be left without a data centre that is in");
-  };
-  for (const Service& service : ticket.m_services) {
-    if (HasNoDataCentreInService(ticket, service)) return none_in_service("service " + service.m_name);
-  }
-  if (std::none_of(ticket.m_data_centres.begin(), ticket.m_data_centres.end(), is_out)) return {};
-  for (const auto& [name, service] : m_data.m_state.m_services) {
-    const Service* after = ServiceAfter(ticket, name);
-    if (after != nullptr && HasNoDataCentreInService(ticket, *after)) return none_in_service("service " + name);
-  }
-  const bool is_any_set_in_service = !std::all_of(ticket.m_data_centres.begin(), ticket.m_data_centres.end(), is_out);
-  const auto& before = m_data.m_state.m_data_centres;
-  const bool is_any_existing_in_service = std::any_of(
-      before.begin(), before.end(), [&](const auto& entry) { return !is_out(*DataCentreAfter(ticket, entry.first)); });
-  return is_any_set_in_service || is_any_existing_in_service ? Error{} : none_in_service("the deployment");
+  TicketCheckInput input;
+  input.m_state = &m_data.m_state;
+  input.m_address_owners = &m_address_owners;
+  input.m_removal_tickets = &m_data.m_removal_tickets;
+  input.m_evicted_up_to = m_data.m_evicted_up_to;
+  if (m_data.m_accepted.size() >= kMaxRetainedTickets) input.m_lowest_retained = m_data.m_accepted.begin()->first;
+  const std::vector<TicketFinding> errors = TicketCheck(ticket, input).FindErrors();
+  return errors.empty() ? Error{} : MakeError(errors.front().m_code, errors.front().m_text);
 }
 
 void TicketProcessor::ApplyToState(const Ticket& ticket, Version version) {
@@ -334,8 +169,7 @@
   if (!IsOk(data)) return ErrorOf(data);
   m_data = std::move(ValueOf(data));
   m_digest.reset();
-  m_address_owners.clear();
-  for (const auto& [name, service] : m_data.m_state.m_services) IndexAddresses(service);
+  m_address_owners = AddressOwnersOf(m_data.m_state);
   return OkStatus();
 }
 
