Add fighatchctl check

Cause: a ticket could only be compared with the state, or sent.

Change: `fighatchctl check FILE` prints the findings of TicketCheck and what the ticket adds, changes and removes, from a confirmed read of the state and of the ticket of the same number; `--offline` checks the file alone. The comparison is the one of `diff`, which moves to a file of its own.

--- a/programs/ctl/commands.cc
+++ b/programs/ctl/commands.cc
@@ -8,12 +8,13 @@
 #include <map>
 #include <string_view>
 
+#include "check.h"
 #include "config/json_reader.h"
 #include "control_client.h"
 #include "daemon/operator_key.h"
 #include "explain.h"
 #include "fighatch/ticket.h"
-#include "state/state_json.h"
+#include "ticket_difference.h"
 
 namespace fighatch::ctl {
 namespace {
@@ -176,29 +177,6 @@
   return status.m_not_in_force.empty() ? ExitCode::kOk : ExitCode::kNotInForce;
 }
 
-const json* FindByName(const json& list, const std::string& name) {
-  const auto found =
-      std::find_if(list.begin(), list.end(), [&name](const json& entry) { return entry.value("name", "") == name; });
-  return found == list.end() ? nullptr : &*found;
-}
-
-// Prints the fields in which `after`, an object of a ticket, differs from the object of the same name in `state_list`.
-// Returns the number of such fields.
-int PrintDifferences(const std::string& kind, const json& after, const json& state_list) {
-  const std::string name = after.value("name", "");
-  const json* before = FindByName(state_list, name);
-  int differences = 0;
-  for (const auto& [field, value] : after.items()) {
-    if (field == "id" || field == "ticket") continue;
-    const json old = before == nullptr ? json() : before->value(field, json());
-    if (old == value) continue;
-    ++differences;
-    if (!old.is_null()) std::cout << "- " << kind << " " << name << " " << field << " " << old.dump() << "\n";
-    std::cout << "+ " << kind << " " << name << " " << field << " " << value.dump() << "\n";
-  }
-  return differences;
-}
-
 ExitCode Diff(const CommandLine& line) {
   const Result<std::string> text = config::ReadTextFile(line.m_arguments[0]);
   if (!IsOk(text)) return ReportUsageError("cannot read " + line.m_arguments[0]);
@@ -206,21 +184,9 @@
   if (!IsOk(ticket)) return ReportUsageError(ToString(ErrorOf(ticket)) + "\nnext: correct the named field");
   const Result<json> state = MakeClient(line).GetConfirmedState();
   if (!IsOk(state)) return ReportNoAnswer(ErrorOf(state), false);
-  const json services = ValueOf(state).value("services", json::array());
-  const json data_centres = ValueOf(state).value("data_centres", json::array());
-  int differences = 0;
-  for (const DataCentre& data_centre : ValueOf(ticket).m_data_centres) {
-    differences += PrintDifferences("data centre", json(DataCentreToJson(data_centre)), data_centres);
-  }
-  for (const Service& service : ValueOf(ticket).m_services) {
-    differences += PrintDifferences("service", json(ServiceToJson(service)), services);
-  }
-  for (const std::string& name : ValueOf(ticket).m_removed_services) {
-    if (FindByName(services, name) == nullptr) continue;
-    ++differences;
-    std::cout << "- service " << name << "\n";
-  }
-  return differences == 0 ? ExitCode::kOk : ExitCode::kDifferent;
+  const std::vector<TicketDifference> differences = DifferencesOf(ValueOf(ticket), ValueOf(state));
+  PrintDifferences(differences, std::cout);
+  return differences.empty() ? ExitCode::kOk : ExitCode::kDifferent;
 }
 
 // The number given on the command line, or else the one after the highest of the state's recent tickets.
@@ -324,6 +290,7 @@
     Command{"apply", "FILE", 1, Apply, "send a ticket and wait until it is in force on every host"},
     Command{"show", "", 0, Show, "print the state"},
     Command{"where", "NUMBER", 1, Where, "say whether a ticket is accepted and where it is in force"},
+    Command{"check", "FILE", 1, Check, "check a ticket without sending it, and print what it would change"},
     Command{"diff", "FILE", 1, Diff, "print what a ticket would change"},
     Command{"drain", "SERVICE DC", 2, Drain, "set the weight of a service in a data centre to 0"},
     Command{"out", "DC", 1, Out, "take a data centre out"},
@@ -353,7 +320,9 @@
   return text +
          "\nExit codes: 0 done, 1 wrong use or unreadable file, 2 ticket refused, 3 no answer before the deadline,\n"
          "  4 accepted but not in force everywhere, 5 no such ticket, 6 the file differs from the state,\n"
-         "  7 a balancer drops or resets the flow, or balancers name different targets\n";
+         "  7 a balancer drops or resets the flow, or balancers name different targets\n"
+         "Exit codes of check: 0 no findings, 1 warnings only (or wrong use), 2 errors or unreadable file,\n"
+         "  3 the version in force could not be read\n";
 }
 
 }  // namespace fighatch::ctl
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -27,6 +27,13 @@
   kDifferent = 6,
   /// `explain`: a balancer drops or resets the flow, or balancers name different targets.
   kNotServed = 7,
+
+  /// `check`: the findings are warnings only.
+  kCheckWarnings = 1,
+  /// `check`: control hosts would refuse the ticket, or the file cannot be read.
+  kCheckErrors = 2,
+  /// `check`: no error was found, but the version in force could not be read.
+  kCheckNoState = 3,
 };
 
 /// The command line of `fighatchctl`, merged with its settings file.
@@ -45,6 +52,8 @@
   bool m_wait = true;
   /// `show`: the state of any one control host, which may be old.
   bool m_local = false;
+  /// `check`: no control host is asked.
+  bool m_offline = false;
   bool m_force = false;
 };
 
--- a/programs/ctl/control_client.cc
+++ b/programs/ctl/control_client.cc
@@ -72,6 +72,11 @@
                             [](const json& response) { return !response.contains("code"); });
 }
 
+Result<json> ControlClient::GetConfirmedTicket(TicketNumber number) {
+  return ExchangeUntilFinal({"GET", "/v1/tickets/" + std::to_string(number.m_value), {}, ""},
+                            [](const json& response) { return response.value("confirmed", false); });
+}
+
 std::vector<json> ControlClient::GetFromAll(const std::string& path) const {
   std::vector<json> responses;
   for (const Endpoint& host : m_control_hosts) {
--- a/programs/ctl/control_client.h
+++ b/programs/ctl/control_client.h
@@ -47,6 +47,10 @@
   /// Gets the newest accepted state from the leader, which confirms that no later one exists. Errors: `kIoTimeout`.
   [[nodiscard]] Result<nlohmann::json> GetConfirmedState();
 
+  /// Gets what control hosts retain of a ticket, from one that has accepted it or that confirms that none has. Errors:
+  /// `kIoTimeout`.
+  [[nodiscard]] Result<nlohmann::json> GetConfirmedTicket(TicketNumber number);
+
   /// Gets a JSON document from every control host; those that do not respond are left out.
   [[nodiscard]] std::vector<nlohmann::json> GetFromAll(const std::string& path) const;
 
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -36,9 +36,9 @@
                                        cxxopts::value<std::uint64_t>())(
       "force", "accept a generated ticket that fails a safety check (codes 3004 to 3006)")(
       "no-wait", "do not wait for \"in force\"")("local", "with show: the state of one control host, which may be old")(
-      "json", "print JSON")("check-config", "check the settings and exit")("version", "print the version")(
-      "help", "print this text")("command", "", cxxopts::value<std::string>())(
-      "arguments", "", cxxopts::value<std::vector<std::string>>());
+      "offline", "with check: check the file alone, without the version in force")("json", "print JSON")(
+      "check-config", "check the settings and exit")("version", "print the version")("help", "print this text")(
+      "command", "", cxxopts::value<std::string>())("arguments", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "arguments"});
   return options;
 }
@@ -88,6 +88,7 @@
   line->m_force = parsed.count("force") > 0;
   line->m_wait = parsed.count("no-wait") == 0;
   line->m_local = parsed.count("local") > 0;
+  line->m_offline = parsed.count("offline") > 0;
   line->m_json = parsed.count("json") > 0;
   if (parsed.count("command") > 0) line->m_command = parsed["command"].as<std::string>();
   if (parsed.count("arguments") > 0) line->m_arguments = parsed["arguments"].as<std::vector<std::string>>();
@@ -105,7 +106,8 @@
   if (!IsOk(status)) return Fail(ToString(ErrorOf(status)));
   if (parsed.count("check-config") > 0) return std::cout << "settings are valid\n", 0;
   if (line.m_command.empty()) return Fail("no command; see --help");
-  const bool asks_control_hosts = line.m_command != "explain";
+  // `check` reports missing control hosts with an exit code of its own.
+  const bool asks_control_hosts = line.m_command != "explain" && line.m_command != "check";
   if (asks_control_hosts && line.m_control_hosts.empty()) {
     return Fail("name the control hosts with --control or --config");
   }
