--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -309,6 +309,43 @@
   EXPECT_EQ(run({"no-such-command"}), 1);
 }
 
+// Guards against a check that sends the ticket, whatever it finds, against wrong exit codes of the check, and against
+// one that takes an unconfirmed state for the newest.
+TEST_F(ControlProcessTest, ToolChecksTicketsWithoutSendingThem) {
+  const io::Reactor reactor;
+  EXPECT_EQ(PostUntilFinal(MakeTicket(1, 1)).value("code", -1), 0);
+  WaitUntilReplicasConverge();
+  const json state_before = GetJson(1, "/v1/state");
+  const std::uint64_t last_before = GetJson(1, "/v1/health").value("last", 0ULL);
+  std::string control;
+  for (const auto& [host, endpoint] : m_http_endpoints) control += (control.empty() ? "" : ",") + ToString(endpoint);
+  const auto check = [&](const std::string& ticket, const std::vector<std::string>& options = {}) {
+    std::ofstream(kFolder + "/ticket.json") << ticket;
+    std::vector<std::string> arguments{"check", kFolder + "/ticket.json", "--deadline", "3000", "--control", control};
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    return Process("fighatchctl", arguments).Wait();
+  };
+  json mistyped = json::parse(MakeTicket(2, 1));
+  mistyped["removed_services"] = json::array({"no-such-service"});
+  json unknown = json::parse(MakeTicket(2, 1));
+  unknown["services"] = {{{"name", "s"}, {"weights", {{{"data_centre", "nowhere"}, {"weight", 1}}}}}};
+  EXPECT_EQ(check(MakeTicket(2, 1)), 0);
+  EXPECT_EQ(check(mistyped.dump()), 1);
+  EXPECT_EQ(check(unknown.dump()), 2);
+  EXPECT_EQ(check(MakeTicket(1, 2)), 2) << "the number is that of another ticket";
+  EXPECT_EQ(check(MakeTicket(1, 1)), 0) << "the ticket is in force";
+  EXPECT_EQ(check("{}"), 2);
+  EXPECT_EQ(GetJson(1, "/v1/state"), state_before);
+  EXPECT_EQ(GetJson(1, "/v1/health").value("last", 0ULL), last_before) << "nothing was added to the log";
+  Kill(2);
+  Kill(3);
+  // Once the lease of a former leader has expired, no host can confirm its state.
+  std::this_thread::sleep_for(milliseconds(2000));
+  EXPECT_EQ(check(MakeTicket(2, 1)), 3);
+  EXPECT_EQ(check("{}"), 2);
+  EXPECT_EQ(check(MakeTicket(2, 1), {"--offline"}), 0);
+}
+
 // Guards against a tool that compares or changes an old state: the only control host that answers was suspended while a
 // ticket was accepted, and has not seen it.
 TEST_F(ControlProcessTest, ToolRefusesToWorkOnOldState) {
