Send flow records although two changes come in different order

Cause: when keepers change, only the first former holder of a record sends it to the new ones. Members and owner tables reach balancers by different ways.

Change: for 1.5 s after a change a balancer also sends the records of which it is the first holder by the table before the first of the changes. What was sent under the table between them is not sent again.

--- a/include/fighatch/flow_decider.h
+++ b/include/fighatch/flow_decider.h
@@ -156,13 +156,15 @@
   void UpdateChangeTimes(const ForwardingTable* former, TimePoint now);
   void RemoveRecordsOfGoneTargets(const ForwardingTable& former);
   /// Starts a scan of all records, which queues each for the balancers that must hold it under the new table only.
-  void StartScan(const std::shared_ptr<const ForwardingTable>& former);
+  void StartScan(const std::shared_ptr<const ForwardingTable>& former, TimePoint now);
   void ScanRecords();
   void FinishScan();
   /// Resends the records of active flows to their other holders. Only the keeper that serves a flow sees its packets,
   /// so the copies would otherwise expire while the flow is active.
   void RefreshCopies(TimePoint now);
   void TransferRecord(const FlowRecord& record, bool same_ranks);
+  /// True if this balancer sends the record to its new holders by the table before the last changes.
+  [[nodiscard]] bool IsSenderBeforeChanges(const FlowRecord& record) const;
   [[nodiscard]] bool IsExpired(const FlowRecord& record, std::uint32_t tick) const noexcept;
 
   FlowDeciderOptions m_options;
@@ -181,6 +183,9 @@
   std::set<ServiceId> m_services_with_unrecorded_flows;
   /// The table under which the last finished scan distributed the records; null if no scan is in progress.
   std::shared_ptr<const ForwardingTable> m_scan_former_table;
+  /// The table that the first of the last changes replaced, at `m_changes_started`; null if there was no change lately.
+  std::shared_ptr<const ForwardingTable> m_table_before_changes;
+  TimePoint m_changes_started;
   std::size_t m_scan_position = 0;
   bool m_is_scanning = false;
   std::size_t m_refresh_position = 0;
--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -16,6 +16,9 @@
 /// Records of settled slots are kept until their flow is idle for this long, for balancers that still use an older
 /// table.
 constexpr std::uint32_t kSettledRecordTicks = FlowTicks(std::chrono::seconds(10));
+/// Changes of members and of owners take different ways to the balancers. After this time all that are reachable have
+/// both; the learning phase waits as long for their acknowledgements.
+constexpr Duration kTableSkew = std::chrono::milliseconds(1500);
 
 /// The balancers that hold a record under the table; none if its slot is settled or its service is gone.
 RecordHolders RecordHoldersBy(const ForwardingTable& table, const FlowRecord& record, bool with_joining) {
@@ -26,6 +29,17 @@
   return RecordHoldersIn(table.Keepers(), owners.m_keeper_data_centre, record.m_fingerprint, with_joining);
 }
 
+/// True if a balancer that holds a record sends it to the new holders: only the first former holder that is still a
+/// member sends it. A leaving balancer sends all of its records.
+bool IsSender(const RecordHolders& former, const KeeperRanks& present, HostId self) {
+  if (present.FindBalancer(self) == nullptr) return true;
+  for (const HostId host : former) {
+    if (host == self) return true;
+    if (present.FindBalancer(host) != nullptr) return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 void FlowDecider::SetTable(std::shared_ptr<const ForwardingTable> table, TimePoint now) {
@@ -38,7 +52,7 @@
                 [this](const auto& entry) { return m_table->Keepers().FindBalancer(entry.first) == nullptr; });
   if (former != nullptr) {
     RemoveRecordsOfGoneTargets(*former);
-    StartScan(former);
+    StartScan(former, now);
   }
   const std::vector<ChangedService> changed = ChangedServices(former.get());
   m_services_with_unrecorded_flows.clear();
@@ -75,7 +89,11 @@
   });
 }
 
-void FlowDecider::StartScan(const std::shared_ptr<const ForwardingTable>& former) {
+void FlowDecider::StartScan(const std::shared_ptr<const ForwardingTable>& former, TimePoint now) {
+  if (m_table_before_changes == nullptr || now - m_changes_started > kTableSkew) {
+    m_table_before_changes = former;
+    m_changes_started = now;
+  }
   // A scan in progress starts again, still from the table under which the records were last distributed.
   if (!m_is_scanning) m_scan_former_table = former;
   m_is_scanning = true;
@@ -168,6 +186,7 @@
 
 std::vector<OutgoingRecords> FlowDecider::Tick(TimePoint now) {
   if (m_table == nullptr) return {};
+  if (!m_is_scanning && now - m_changes_started > kTableSkew) m_table_before_changes = nullptr;
   if (m_is_scanning) {
     ScanRecords();
   } else if (m_records.size() > 0) {
@@ -221,16 +240,20 @@
 void FlowDecider::TransferRecord(const FlowRecord& record, bool same_ranks) {
   const HostId self = m_table->Self();
   const RecordHolders former = RecordHoldersBy(*m_scan_former_table, record, same_ranks);
-  // Only the first former holder that is still a member sends the record. A leaving balancer sends all of its records.
-  for (const HostId host : former) {
-    if (host == self || m_table->Keepers().FindBalancer(self) == nullptr) break;
-    if (m_table->Keepers().FindBalancer(host) != nullptr) return;
-  }
+  if (!IsSender(former, m_table->Keepers(), self) && !IsSenderBeforeChanges(record)) return;
   for (const HostId host : RecordHoldersBy(*m_table, record, true)) {
     if (host != self && !former.Has(host)) m_transfer.QueueBulk(host, record);
   }
 }
 
+bool FlowDecider::IsSenderBeforeChanges(const FlowRecord& record) const {
+  // If two changes come close together and balancers get them in different order, then by the tables between the two
+  // each holder may take another one for the sender. By the table before both they agree.
+  if (m_table_before_changes == nullptr) return false;
+  const RecordHolders holders = RecordHoldersBy(*m_table_before_changes, record, false);
+  return holders.Has(m_table->Self()) && IsSender(holders, m_table->Keepers(), m_table->Self());
+}
+
 void FlowDecider::FinishScan() {
   m_is_scanning = false;
   m_scan_former_table = nullptr;
--- a/tests/flow_decider_test.cc
+++ b/tests/flow_decider_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 #include "flow_test_support.h"
 
 namespace fighatch {
@@ -172,6 +175,70 @@
   }
 }
 
+// Guards against a record that nobody sends when the keepers of a slot move to another data centre while a balancer
+// becomes ready: the former keeper gets the member first and the table next, the new keeper of that moment the other
+// way round, and each takes the other one for the sender.
+TEST(FlowDeciderTest, HoldersAgreeOnTheSenderWhenChangesComeInDifferentOrder) {
+  TableFixture fixture;
+  for (const std::uint16_t data_centre : {std::uint16_t{1}, std::uint16_t{2}}) fixture.AddDataCentre(data_centre);
+  fixture.AddService(1, {1, 2});
+  for (const std::uint16_t data_centre : {std::uint16_t{1}, std::uint16_t{2}}) fixture.AddTarget(1, data_centre, 1);
+  fixture.AddBalancer(1, 1);
+  fixture.AddBalancer(2, 2);
+  fixture.AddBalancer(3, 2, false);
+  OwnerTable& shares = fixture.Table(1, 0);
+  shares.m_base = shares.m_current = {{1, 1}, {2, 1}};
+  ASSERT_TRUE(BeginLearning(&shares, {{1, 1}, {2, 2}}));
+  BeginMoving(&shares);
+  TableFixture ready = fixture;
+  ready.MemberOf(3).m_keeper_ready = true;
+  TableFixture learning = fixture;
+  ASSERT_TRUE(BeginLearning(&learning.Table(1, 0), {{1, 1}, {2, 1}}));
+  TableFixture both = learning;
+  both.MemberOf(3).m_keeper_ready = true;
+
+  FlowDecider former(OptionsOf(2));
+  FlowDecider joined(OptionsOf(3));
+  for (FlowDecider* decider : {&former, &joined}) decider->SetContact(FreshContact(AtMs(0)));
+  former.SetTable(fixture.Build(2, 2), AtMs(0));
+  joined.SetTable(fixture.Build(3, 2), AtMs(0));
+  std::set<std::uint64_t> recorded;
+  std::set<std::uint64_t> sent;
+  const auto run = [&](int from_ms, int to_ms) {
+    for (int ms = from_ms; ms < to_ms; ms += 10) {
+      for (FlowDecider* decider : {&former, &joined}) {
+        for (const OutgoingRecords& send : decider->Tick(AtMs(ms))) {
+          FlowRecordsAck ack{kFlowRecordsVersion, send.m_host, 0, send.m_message.m_sequence};
+          if (send.m_host == HostId{2}) ack = former.OnRecords(send.m_message, AtMs(ms));
+          if (send.m_host == HostId{3}) ack = joined.OnRecords(send.m_message, AtMs(ms));
+          decider->OnAck(ack);
+          if (send.m_host != HostId{1}) continue;
+          for (const WireFlowRecord& record : send.m_message.m_records) sent.insert(record.m_fingerprint);
+        }
+      }
+    }
+  };
+  const std::shared_ptr<const ForwardingTable> after = both.Build(3, 2);
+  const ServiceTable* service = after->FindService(ServiceId{1});
+  for (std::uint32_t flow = 0; flow < 600; ++flow) {
+    const Packet packet = PacketOf(flow, PacketKind::kFirst);
+    const Decision decision = former.Decide(packet, AtMs(0));
+    const SlotOwners owners = service->Resolve(service->SlotOf(packet.m_flow_hash));
+    if (decision.m_kind != DecisionKind::kTarget || owners.m_keeper_data_centre != DataCentreId{1}) continue;
+    recorded.insert(packet.m_flow_hash);
+  }
+  run(0, 2000);
+  former.SetTable(ready.Build(2, 2), AtMs(2000));
+  joined.SetTable(learning.Build(3, 2), AtMs(2000));
+  run(2000, 2100);
+  former.SetTable(both.Build(2, 2), AtMs(2100));
+  joined.SetTable(after, AtMs(2100));
+  run(2100, 2300);
+  ASSERT_FALSE(recorded.empty());
+  EXPECT_TRUE(std::includes(sent.begin(), sent.end(), recorded.begin(), recorded.end()))
+      << sent.size() << " of " << recorded.size() << " records reached the new keeper";
+}
+
 // Guards against a balancer that decides by a stale table although it can reach a balancer with a confirmed one.
 TEST(FlowDeciderTest, AStaleBalancerAsksAFreshPeer) {
   TargetJoinFixture fixture(2);
