Divide the room of a service among balancers and priorities while it is short

Cause: in a shortage every balancer fills the same slots for as long as it does not know the load of the others, so that targets shed requests of all priorities, and the more valuable ones are lost like the others.

Change: PriorityShares gives each balancer its share of the room, in token buckets by priority with a floor for the lower ones. CookieSteering asks it before it places a flow, limits targets to two flows per slot while a service is short, and learns the time that a request occupies a slot separately, since the mean processing time grows with queueing. Waiting packets of one address no longer take the turns of others, and packets that cannot be in time are reset. Metrics and log lines show room, offered, admitted, lent and refused. The simulation gains priorities, data centres and retries.

--- a/include/fighatch/admission_queue.h
+++ b/include/fighatch/admission_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -37,6 +38,8 @@
   static constexpr std::size_t kMaxPackets = 2048;
   /// A client gives up this long after it first sent an opening packet.
   static constexpr Duration kMaxWait = std::chrono::milliseconds(1300);
+  /// Number of client addresses whose turns are remembered.
+  static constexpr std::size_t kMaxClients = 4096;
 
   /// Adds a packet. A retransmission replaces the held packet of its flow and keeps the time of the first transmission.
   void Put(WaitingPacket packet);
@@ -45,6 +48,15 @@
   /// none.
   [[nodiscard]] std::optional<WaitingPacket> TakeNext(TimePoint now, const std::set<Endpoint>& blocked = {});
 
+  /// Removes and returns all packets to one service address, in the order in which they are served while the service is
+  /// short of room: first those that can still meet their objective if they are answered at `answer_at`. Among these
+  /// the client addresses alternate, beginning with those that were served the longest ago, so that one address does
+  /// not take the turns of others; of one address, and among equals, the newest packet comes first.
+  [[nodiscard]] std::vector<WaitingPacket> TakeInTurns(const Endpoint& service, TimePoint answer_at);
+
+  /// Records that this client address had its turn.
+  void RecordServed(TimePoint now, const IpAddress& client);
+
   /// Removes packets whose client has given up.
   void Expire(TimePoint now);
 
@@ -58,6 +70,8 @@
   // Sorted by descending priority value, then by time of the first transmission: the last packet is the newest one of
   // the highest priority.
   std::vector<WaitingPacket> m_packets;
+  // When each client address was last served in its turn, for as long as `kMaxWait`.
+  std::map<IpAddress, TimePoint> m_last_served;
 };
 
 }  // namespace fighatch
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -7,13 +7,16 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "fighatch/admission_queue.h"
 #include "fighatch/cookie_packet.h"
 #include "fighatch/error.h"
 #include "fighatch/placed_flow_table.h"
+#include "fighatch/priority_shares.h"
 #include "fighatch/random.h"
 #include "fighatch/routing_state.h"
 #include "fighatch/sync_message.h"
@@ -74,6 +77,14 @@
   /// For this long after the first state has arrived, targets may still be unknown here: opening packets without a
   /// target are held rather than refused.
   Duration m_learning_period = std::chrono::milliseconds(1500);
+  /// Divides the room of a service among balancers and priorities while the service is short of it.
+  bool m_rate_shares = true;
+};
+
+/// A packet that waited, and what to do with it.
+struct ReleasedPacket {
+  WaitingPacket m_packet;
+  SteeringDecision m_decision;
 };
 
 /// Decides for a balancer where each client packet goes, on a transport whose endpoints echo a cookie. A new flow is
@@ -87,7 +98,7 @@
   [[nodiscard]] SteeringDecision Steer(TimePoint now, const CookiePacket& packet);
   /// Steers an opening packet that was held; `first_sent` is when the client first sent it.
   [[nodiscard]] SteeringDecision SteerWaiting(TimePoint now, const CookiePacket& packet, TimePoint first_sent) {
-    return PlaceFlow(now, packet, first_sent);
+    return PlaceFlow(now, packet, first_sent, PacketSource::kWaiting);
   }
 
   /// Applies an update of the published state; older updates are ignored. Returns true if the update was applied.
@@ -98,7 +109,10 @@
   /// accepted.
   void Receive(TimePoint now, const LoadReport& report);
   /// All balancers, this one included; they share the targets' capacity and the rate of new flows to cold targets.
-  void SetBalancers(std::vector<HostId> balancers) { m_balancers = std::move(balancers); }
+  void SetBalancers(std::vector<HostId> balancers) {
+    m_balancers = std::move(balancers);
+    m_shares.SetBalancers(m_balancers.size());
+  }
   void SetReportLag(Duration lag) { m_options.m_report_lag = lag; }
 
   /// When a new flow last found targets of its service but none that seems reachable; unset if that did not happen.
@@ -112,6 +126,18 @@
   /// `AdmissionQueue::kMaxWait`.
   [[nodiscard]] std::size_t WaitingLimit(TimePoint now) const;
 
+  /// Replaces the demand for a service that the other balancers have reported, without that of this balancer.
+  void SetDemand(TimePoint now, const std::string& service, const ServiceDemand& demand) {
+    m_shares.SetDemand(now, service, demand);
+  }
+  /// True while a service is offered more than its targets can serve, see `PriorityShares`.
+  [[nodiscard]] bool IsShortOfRoom(const std::string& service) const { return m_shares.IsShort(service); }
+  /// Takes the packets to services that are short of room from the queue, and returns those that may be placed now and
+  /// those that cannot be answered in time. The others are put back.
+  [[nodiscard]] std::vector<ReleasedPacket> ReleaseSharedPackets(TimePoint now, AdmissionQueue* queue);
+  /// The service addresses whose packets only `ReleaseSharedPackets` releases.
+  [[nodiscard]] std::set<Endpoint> AddressesShortOfRoom() const;
+
   /// Stops counting silent flows as load; call it every few tens of milliseconds.
   void RefreshLoadCounts(TimePoint now);
 
@@ -124,6 +150,8 @@
   [[nodiscard]] const PublishedState& State() const noexcept { return m_state; }
   [[nodiscard]] TargetTable& Targets() noexcept { return m_targets; }
   [[nodiscard]] std::size_t OpenFlows() const noexcept { return m_flows.Size(); }
+  [[nodiscard]] PriorityShares& Shares() noexcept { return m_shares; }
+  [[nodiscard]] const PriorityShares& Shares() const noexcept { return m_shares; }
 
  private:
   struct ReceivedReport {
@@ -137,7 +165,37 @@
     TimePoint m_avoid_until;
   };
 
-  [[nodiscard]] SteeringDecision PlaceFlow(TimePoint now, const CookiePacket& packet, TimePoint first_sent);
+  // Whether an opening packet has just arrived, or was held before.
+  enum class PacketSource : std::uint8_t { kArrived = 0, kWaiting = 1 };
+
+  // What the rate shares need to know of an opening packet.
+  struct ShareRequest {
+    const Route* m_route = nullptr;
+    const std::string* m_service = nullptr;
+    TimePoint m_first_sent;
+    PacketSource m_source = PacketSource::kArrived;
+    // The flow was placed before, but its target did not answer.
+    bool m_was_placed = false;
+  };
+
+  [[nodiscard]] SteeringDecision PlaceFlow(TimePoint now, const CookiePacket& packet, TimePoint first_sent,
+                                           PacketSource source);
+  // The decision to hold or to refuse a packet to a service that is short of room; empty if it may be placed at one of
+  // the remaining candidates.
+  [[nodiscard]] std::optional<SteeringDecision> ApplyShares(TimePoint now, const ShareRequest& request,
+                                                            double unreported_flows,
+                                                            std::vector<SteeringTarget*>* candidates);
+  // Processes the packets to one address, in the order of service.
+  void ReleaseInTurns(TimePoint now, const Route& route, AdmissionQueue* queue, std::vector<ReleasedPacket>* released);
+  // The first service of a route that is short of room; null if none is.
+  [[nodiscard]] const std::string* ShortServiceOf(const Route& route) const;
+  // Computes the room of all services with several priorities, at most once in a short interval.
+  void RefreshRoom(TimePoint now);
+  // Requests per second that a service's open targets can serve.
+  [[nodiscard]] double RequestsPerSecond(TimePoint now, const std::string& service, double request_ms) const;
+  // Time that a request occupies a slot, in milliseconds; 0 before the first sample.
+  [[nodiscard]] double SlotTimeMs(const std::string& service) const;
+  void LearnSlotTime(const std::string& service, const PlacedFlow& flow, Duration duration);
   [[nodiscard]] SteeringDecision SteerByCookie(TimePoint now, const CookiePacket& packet);
   // Updates the flow if it was placed here, and sets the times in the decision.
   void RecordProgress(TimePoint now, const CookiePacket& packet, SteeringTarget* target, SteeringDecision* decision);
@@ -177,6 +235,17 @@
   std::vector<HostId> m_balancers;
   std::map<HostId, ReceivedReport> m_reports;
   std::unordered_map<std::string, double> m_service_processing_ms;
+  // Time for which a request occupies a slot, learned while queues at targets are short.
+  struct SlotTime {
+    double m_mean_ms = 0;
+    std::uint32_t m_samples = 0;
+  };
+
+  std::unordered_map<std::string, SlotTime> m_slot_times;
+  PriorityShares m_shares;
+  TimePoint m_room_computed;
+  // Service addresses with packets that were held by `ApplyShares` and not released since.
+  std::set<Endpoint> m_waiting_addresses;
   // Times at which this balancer placed its latest flows, by service.
   std::unordered_map<std::string, std::deque<TimePoint>> m_recent_placements;
   std::map<std::string, DataCentreHealth> m_data_centres;
--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -51,6 +51,7 @@
 #include "fighatch/owner_transition.h"
 #include "fighatch/packet.h"
 #include "fighatch/placed_flow_table.h"
+#include "fighatch/priority_shares.h"
 #include "fighatch/raft_log.h"
 #include "fighatch/raft_message.h"
 #include "fighatch/raft_node.h"
--- a/include/fighatch/placed_flow_table.h
+++ b/include/fighatch/placed_flow_table.h
@@ -25,6 +25,8 @@
   bool m_established = false;
   /// True while the flow counts as load of its target.
   bool m_counts_as_load = true;
+  /// Time from placing the flow to the packet that showed that the target has answered.
+  Duration m_opened_after{0};
 };
 
 /// The flows that a balancer has placed, kept to count the load of targets and to handle retransmitted opening packets.
--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -200,10 +200,12 @@
   m_outgoing.clear();
   m_reset_packets.clear();
   m_reset_packets.reserve(m_admission_queue.Size());
+  std::vector<ReleasedPacket> shared = m_steering.ReleaseSharedPackets(now, &m_admission_queue);
+  for (ReleasedPacket& packet : shared) ApplyToWaitingPacket(now, &packet.m_packet, packet.m_decision);
   std::vector<WaitingPacket> released;
   std::vector<WaitingPacket> held;
   // Services whose targets have no free capacity are skipped, so that they do not delay packets to other services.
-  std::set<Endpoint> blocked;
+  std::set<Endpoint> blocked = m_steering.AddressesShortOfRoom();
   std::size_t budget = m_steering.ReleaseBudget(now);
   while (budget > 0) {
     std::optional<WaitingPacket> next = m_admission_queue.TakeNext(now, blocked);
@@ -219,16 +221,16 @@
       released.pop_back();
       continue;
     }
-    m_latencies.m_wait.Add(now - packet.m_first_sent);
-    ApplyDecision(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
+    ApplyToWaitingPacket(now, &packet, decision);
     --budget;
   }
   for (WaitingPacket& packet : held) m_admission_queue.Put(std::move(packet));
   RefuseExcessPackets(now);
   if (!m_outgoing.empty()) m_packet_socket->Send(m_outgoing);
   if (m_log_line_budget.Allow()) {
-    LOG(INFO) << "event=waiting_released count=" << released.size() << " still_waiting=" << m_admission_queue.Size()
-              << " state=" << m_steering.State().m_index << " suppressed=" << m_log_line_budget.TakeSuppressed();
+    LOG(INFO) << "event=waiting_released count=" << released.size() + shared.size()
+              << " still_waiting=" << m_admission_queue.Size() << " state=" << m_steering.State().m_index
+              << " suppressed=" << m_log_line_budget.TakeSuppressed();
   }
 }
 
@@ -238,11 +240,15 @@
   refused.m_reason = ErrorCode::kRequestOverloaded;
   for (WaitingPacket& packet : m_admission_queue.RemoveExcess(m_steering.WaitingLimit(now))) {
     ++m_counters.m_refused_waiting;
-    m_latencies.m_wait.Add(now - packet.m_first_sent);
-    ApplyDecision(packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), refused);
+    ApplyToWaitingPacket(now, &packet, refused);
   }
 }
 
+void SteeringBalancer::ApplyToWaitingPacket(TimePoint now, WaitingPacket* packet, const SteeringDecision& decision) {
+  m_latencies.m_wait.Add(now - packet->m_first_sent);
+  ApplyDecision(packet->m_packet, std::span(packet->m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
+}
+
 void SteeringBalancer::UpdateTargetReachability(TimePoint now) {
   if (!m_targets_unreachable) {
     const std::optional<TimePoint> unreachable_at = m_steering.TargetsUnreachableAt();
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "balancer/packet_codec.h"
@@ -80,6 +82,7 @@
   void ServeAdmissionQueue();
   void ReleaseWaitingPackets(TimePoint now);
   void RefuseExcessPackets(TimePoint now);
+  void ApplyToWaitingPacket(TimePoint now, WaitingPacket* packet, const SteeringDecision& decision);
   void UpdateTargetReachability(TimePoint now);
   void LogDecision(const CookiePacket& packet, const SteeringDecision& decision);
   void ServeMessages();
@@ -90,7 +93,10 @@
   void AwaitStop(StopSignal* stop);
   void Drain();
   void LogContactAndReadiness(TimePoint now);
+  // Logs changes of shortage, and adds the metrics of services and priorities that have none yet.
+  void ReportShares();
   void AddMetrics();
+  void AddShareMetrics(const std::string& service, std::uint32_t priority);
   void SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload);
 
   config::SteeringBalancerSettings m_settings;
@@ -113,6 +119,8 @@
   // Set while no target answers: the balancer is then not ready, so that routers send packets to other balancers.
   bool m_targets_unreachable = false;
   TimePoint m_unreachable_since;
+  // Services and priorities with metrics; those that are no longer published keep theirs.
+  std::set<std::pair<std::string, std::uint32_t>> m_share_metrics;
   bool m_last_report_nonempty = false;
   bool m_had_control_contact = false;
   bool m_was_ready = false;
--- a/src/balancer/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -110,6 +110,7 @@
   while (!m_done) {
     const std::vector<HostId> recipients = LoadReportRecipients();
     m_steering.RefreshLoadCounts(Now());
+    ReportShares();
     const LoadReport report = m_steering.MakeReport();
     // One empty report after one with load tells the other balancers that the load has ended.
     if (!report.m_loads.empty() || m_last_report_nonempty) {
--- a/src/steering/admission_queue.cc
+++ b/src/steering/admission_queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace fighatch {
@@ -45,7 +46,38 @@
   return next;
 }
 
+std::vector<WaitingPacket> AdmissionQueue::TakeInTurns(const Endpoint& service, TimePoint answer_at) {
+  const auto first = std::stable_partition(m_packets.begin(), m_packets.end(), [&service](const WaitingPacket& packet) {
+    return packet.m_packet.m_endpoints.m_service != service;
+  });
+  std::vector<WaitingPacket> taken(std::make_move_iterator(first), std::make_move_iterator(m_packets.end()));
+  m_packets.erase(first, m_packets.end());
+  // The newest first.
+  std::reverse(taken.begin(), taken.end());
+  // Late packets last; then by number of packets of the same address before this one, and by its last turn.
+  using Key = std::tuple<bool, std::size_t, TimePoint, std::size_t>;
+  std::vector<Key> keys;
+  std::map<IpAddress, std::size_t> turns;
+  for (const WaitingPacket& packet : taken) {
+    const IpAddress& client = packet.m_packet.m_endpoints.m_client.m_address;
+    const auto last = m_last_served.find(client);
+    const bool is_late = packet.m_objective_deadline && answer_at > *packet.m_objective_deadline;
+    keys.emplace_back(is_late, turns[client]++, last == m_last_served.end() ? TimePoint{} : last->second, keys.size());
+  }
+  std::sort(keys.begin(), keys.end());
+  std::vector<WaitingPacket> ordered;
+  ordered.reserve(taken.size());
+  for (const Key& key : keys) ordered.push_back(std::move(taken[std::get<3>(key)]));
+  return ordered;
+}
+
+void AdmissionQueue::RecordServed(TimePoint now, const IpAddress& client) {
+  if (m_last_served.size() >= kMaxClients) m_last_served.clear();
+  m_last_served[client] = now;
+}
+
 void AdmissionQueue::Expire(TimePoint now) {
+  std::erase_if(m_last_served, [now](const auto& entry) { return now - entry.second > kMaxWait; });
   std::erase_if(m_packets, [now](const WaitingPacket& packet) { return now - packet.m_first_sent > kMaxWait; });
 }
 
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -13,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Weight of a new sample in the exponential moving averages of processing times.
-constexpr double kProcessingSampleWeight = 0.15;
 // A target may still be sending its last packets for this long after it has deregistered.
 constexpr milliseconds kEndGracePeriod{300};
 // A target is full at this many flows per slot. Further flows are held at the balancer, where they can still go to any
@@ -28,15 +26,6 @@
   return decision;
 }
 
-bool IsFull(const SteeringTarget& target, double unreported_flows, double flows_per_slot) {
-  return FlowsAt(target) + unreported_flows >= SlotsOf(target) * flows_per_slot;
-}
-
-std::optional<TimePoint> ObjectiveDeadline(const Route& route, TimePoint first_sent) {
-  if (route.m_objective_ms == 0) return std::nullopt;
-  return first_sent + milliseconds(route.m_objective_ms);
-}
-
 SteeringDecision ForwardTo(const SteeringTarget& target) {
   SteeringDecision decision;
   decision.m_action = SteeringAction::kForward;
@@ -46,17 +35,14 @@
   return decision;
 }
 
-void AddSample(double* mean, double sample) {
-  *mean = *mean <= 0 ? sample : *mean + kProcessingSampleWeight * (sample - *mean);
-}
-
 }  // namespace
 
 CookieSteering::CookieSteering(const SteeringOptions& options, std::unique_ptr<ChoiceStrategy> choice, Random random)
     : m_options(options), m_choice(std::move(choice)), m_random(random) {}
 
 SteeringDecision CookieSteering::Steer(TimePoint now, const CookiePacket& packet) {
-  return packet.m_opening ? PlaceFlow(now, packet, now - packet.m_age) : SteerByCookie(now, packet);
+  if (!packet.m_opening) return SteerByCookie(now, packet);
+  return PlaceFlow(now, packet, now - packet.m_age, PacketSource::kArrived);
 }
 
 bool CookieSteering::Update(TimePoint now, const RoutingUpdate& update) {
@@ -96,7 +82,8 @@
     if (target->m_opening_flows > 0) --target->m_opening_flows;
     RecordAnswered(target);
     target->m_last_accepted = now;
-    decision->m_opened_after = now - flow->m_placed;
+    flow->m_opened_after = now - flow->m_placed;
+    decision->m_opened_after = flow->m_opened_after;
   }
   flow->m_last_packet = now;
   SetCountsAsLoad(flow, true);
@@ -105,25 +92,32 @@
   RecordFlowEnd(now, *m_flows.Take(packet.m_endpoints), true);
 }
 
-SteeringDecision CookieSteering::PlaceFlow(TimePoint now, const CookiePacket& packet, TimePoint first_sent) {
+SteeringDecision CookieSteering::PlaceFlow(TimePoint now, const CookiePacket& packet, TimePoint first_sent,
+                                           PacketSource source) {
   if (m_state.m_index == 0) return Refuse(SteeringAction::kHold, ErrorCode::kPacketNoTarget);
   const auto route = m_state.m_routing.m_routes.find(packet.m_endpoints.m_service);
   if (route == m_state.m_routing.m_routes.end()) {
     return Refuse(SteeringAction::kReset, ErrorCode::kPacketUnknownService);
   }
   SteeringTarget* unresponsive = nullptr;
+  bool was_placed = false;
   if (PlacedFlow* flow = m_flows.Find(packet.m_endpoints); flow != nullptr) {
     SteeringTarget* target = m_targets.Find(flow->m_target);
     if (packet.m_retransmissions > 0 && flow->m_established && target != nullptr) return ForwardTo(*target);
     const bool unanswered = packet.m_retransmissions > 0 && !flow->m_established;
     RecordFlowEnd(now, *m_flows.Take(packet.m_endpoints), false);
+    was_placed = true;
     if (unanswered && target != nullptr) {
       RecordUnanswered(now, target);
       unresponsive = target;
     }
   }
   const std::string& service = PickService(route->second);
-  const std::vector<SteeringTarget*> candidates = Candidates(now, service, unresponsive);
+  RefreshRoom(now);
+  if (source == PacketSource::kArrived && packet.m_retransmissions == 0) {
+    m_shares.RecordOffered(now, service, route->second.m_priority);
+  }
+  std::vector<SteeringTarget*> candidates = Candidates(now, service, unresponsive);
   if (candidates.empty()) {
     const SteeringAction action = now < m_learning_until ? SteeringAction::kHold : SteeringAction::kReset;
     return Refuse(action, ErrorCode::kPacketNoTarget);
@@ -132,8 +126,13 @@
   const std::optional<TimePoint> objective_deadline = ObjectiveDeadline(route->second, first_sent);
   const double flows_per_slot =
       objective_deadline && now >= *objective_deadline ? kReleaseFlowsPerSlot : kFullFlowsPerSlot;
-  if (std::all_of(candidates.begin(), candidates.end(),
-                  [&](const SteeringTarget* target) { return IsFull(*target, unreported_flows, flows_per_slot); })) {
+  if (m_shares.IsShort(service)) {
+    const ShareRequest request{&route->second, &service, first_sent, source, was_placed};
+    const std::optional<SteeringDecision> decision = ApplyShares(now, request, unreported_flows, &candidates);
+    if (decision) return *decision;
+  } else if (std::all_of(candidates.begin(), candidates.end(), [&](const SteeringTarget* target) {
+               return IsFull(*target, unreported_flows, flows_per_slot);
+             })) {
     SteeringDecision hold = Refuse(SteeringAction::kHold, ErrorCode::kRequestOverloaded);
     hold.m_priority = route->second.m_priority;
     hold.m_objective_deadline = objective_deadline;
@@ -205,6 +204,7 @@
 }
 
 void CookieSteering::RefreshLoadCounts(TimePoint now) {
+  RefreshRoom(now);
   m_flows.ForEach([&](PlacedFlow* flow) {
     const Duration load_timeout = flow->m_established ? m_options.m_load_timeout : m_options.m_opening_load_timeout;
     if (now - flow->m_last_packet > load_timeout) SetCountsAsLoad(flow, false);
@@ -223,6 +223,7 @@
   AddSample(&service_mean, sample);
   if (target->m_processing_ms <= 0) target->m_processing_ms = service_mean;
   AddSample(&target->m_processing_ms, sample);
+  LearnSlotTime(target->m_record.m_service, flow, now - flow.m_placed);
 }
 
 void CookieSteering::Receive(TimePoint now, const LoadReport& report) {
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "fighatch/hash.h"
+#include "steering/target_load.h"
 
 namespace fighatch {
 namespace {
@@ -12,9 +13,6 @@
 constexpr double kRemoteDataCentrePenaltyMs = 4;
 // Factor by which a cold target takes longer for a request.
 constexpr double kColdFactor = 1.6;
-// A target's own average processing time is used only if it is more than this many times that of its service: smaller
-// differences are statistical fluctuations, and would send all balancers to the same target.
-constexpr double kSlowFactor = 2;
 // Fraction of the processing time, divided by the number of slots, that each flow at a target adds even if a slot is
 // free: the known number of flows may be outdated.
 constexpr double kFlowCost = 0.15;
--- a/src/steering/target_load.h
+++ b/src/steering/target_load.h
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
+#include "fighatch/routing_state.h"
 #include "fighatch/target_table.h"
 #include "fighatch/time.h"
 
@@ -13,6 +15,11 @@
 // Consecutive unanswered opening packets, over all targets of a data centre, after which it counts as unreachable.
 inline constexpr std::uint32_t kDataCentreUnansweredLimit = 3;
 inline constexpr std::chrono::milliseconds kDataCentreAvoidPeriod{700};
+// Weight of a new sample in the exponential moving averages of processing times.
+inline constexpr double kProcessingSampleWeight = 0.15;
+// A target's own average processing time is used only if it is more than this many times that of its service: smaller
+// differences are statistical fluctuations, and would send all balancers to the same target.
+inline constexpr double kSlowFactor = 2;
 // Held packets, and packets whose answer will miss the objective in any case, fill a target only up to this many flows
 // per slot, so that new flows find short queues.
 inline constexpr double kReleaseFlowsPerSlot = 1;
@@ -27,6 +34,22 @@
   return std::max<std::uint32_t>(target.m_record.m_slots, 1);
 }
 
+/// True if the target has at least this many flows per slot.
+[[nodiscard]] inline bool IsFull(const SteeringTarget& target, double unreported_flows, double flows_per_slot) {
+  return FlowsAt(target) + unreported_flows >= SlotsOf(target) * flows_per_slot;
+}
+
+/// Until when an answer meets the route's latency objective; empty if it has none.
+[[nodiscard]] inline std::optional<TimePoint> ObjectiveDeadline(const Route& route, TimePoint first_sent) {
+  if (route.m_objective_ms == 0) return std::nullopt;
+  return first_sent + std::chrono::milliseconds(route.m_objective_ms);
+}
+
+/// Adds a sample to an exponential moving average, which is 0 before the first one.
+inline void AddSample(double* mean, double sample) {
+  *mean = *mean <= 0 ? sample : *mean + kProcessingSampleWeight * (sample - *mean);
+}
+
 [[nodiscard]] inline double Milliseconds(Duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
 }
--- a/tests/admission_queue_test.cc
+++ b/tests/admission_queue_test.cc
@@ -87,5 +87,29 @@
   EXPECT_TRUE(queue.RemoveExcess(3).empty());
 }
 
+// Guards against one client address that takes the turns of others, and against late packets that go before those that
+// can still be answered in time.
+TEST(AdmissionQueueTest, AddressesTakeTurnsWhileTheServiceIsShort) {
+  AdmissionQueue queue;
+  const auto put = [&queue](std::uint32_t client, std::uint16_t port, int since_ms) {
+    WaitingPacket packet = MakePacket(client, 2, since_ms);
+    packet.m_packet.m_endpoints.m_client.m_port = port;
+    packet.m_objective_deadline = packet.m_first_sent + milliseconds(600);
+    queue.Put(std::move(packet));
+  };
+  for (std::uint16_t port = 1; port <= 3; ++port) put(1, port, 500 + port);
+  put(2, 1, 400);
+  put(3, 1, 450);
+  put(4, 1, 0);
+  queue.RecordServed(kStart, OpeningPacket(3).m_endpoints.m_client.m_address);
+  const TimePoint answer_at = kStart + milliseconds(700);
+  std::vector<std::uint32_t> order;
+  for (const WaitingPacket& packet : queue.TakeInTurns(testing_support::kPublicAddress, answer_at)) {
+    order.push_back(ClientOf(packet));
+  }
+  EXPECT_EQ(order, (std::vector<std::uint32_t>{1, 2, 3, 1, 1, 4}));
+  EXPECT_EQ(queue.Size(), 0U);
+}
+
 }  // namespace
 }  // namespace fighatch
--- a/tests/steering_simulation.h
+++ b/tests/steering_simulation.h
@@ -9,52 +9,16 @@
 #include <vector>
 
 #include "fighatch/admission_queue.h"
+#include "fighatch/hash.h"
 #include "steering_fixture.h"
+#include "steering_load_pattern.h"
 
 namespace fighatch::testing_support {
 
-/// A load pattern for a `SteeringSimulation`.
-struct LoadPattern {
-  std::uint32_t m_balancers = 8;
-  std::uint32_t m_targets = 14;
-  double m_flows_per_second = 400;
-  milliseconds m_length{8000};
-  double m_mean_processing_ms = 24;
-  /// Factor on the rate of flows from the burst's start to its end.
-  double m_burst = 1;
-  milliseconds m_burst_start{3000};
-  milliseconds m_burst_end{6000};
-  /// From the burst's start on, this many targets take `m_slow_factor` times as long.
-  std::uint32_t m_slow_targets = 0;
-  double m_slow_factor = 5;
-  /// From the burst's start on, this many targets do not answer.
-  std::uint32_t m_dead_targets = 0;
-  /// Number of additional requests that arrive together at the burst's start, as after an outage.
-  std::uint32_t m_returning_callers = 0;
-  /// For this long from the burst's start no balancer runs; then all balancers are started anew.
-  milliseconds m_outage{0};
-  std::uint64_t m_seed = 1;
-};
-
-/// Number of requests by outcome, as callers saw it.
-struct LoadResult {
-  std::uint32_t m_requests = 0;
-  std::uint32_t m_in_time = 0;
-  std::uint32_t m_late = 0;
-  std::uint32_t m_shed = 0;
-  /// The same for requests that were first sent in the first second after the outage.
-  std::uint32_t m_requests_after_outage = 0;
-  std::uint32_t m_in_time_after_outage = 0;
-  [[nodiscard]] double InTimeShareAfterOutage() const {
-    return static_cast<double>(m_in_time_after_outage) / m_requests_after_outage;
-  }
-  [[nodiscard]] double ServedShare() const { return static_cast<double>(m_in_time + m_late) / m_requests; }
-  [[nodiscard]] double InTimeShare() const { return static_cast<double>(m_in_time) / m_requests; }
-};
-
 /// Discrete-event simulation of a load pattern in virtual time. Targets (slots, and a queue that sheds requests when it
-/// is full) and callers (retransmitted opening packets, one retry, a deadline) are modelled around real
-/// `CookieSteering` objects, which report their load to each other every 35 ms and release held packets every 15 ms.
+/// is full) and callers (retransmitted opening packets, retries, a deadline) are modelled around real `CookieSteering`
+/// objects, which report their load to each other and release held packets every 15 ms. Offered rates are known to all
+/// balancers one report interval later.
 class SteeringSimulation {
  public:
   using MakeChoice = std::function<std::unique_ptr<ChoiceStrategy>(std::uint32_t balancer)>;
@@ -67,10 +31,12 @@
   LoadResult Run() {
     ScheduleArrivals();
     if (m_pattern.m_outage.count() > 0) Schedule(OutageEnd(), [this] { StartBalancers(); });
+    ScheduleFaults();
     for (std::uint32_t balancer = 0; balancer < m_pattern.m_balancers; ++balancer) {
-      const auto phase = std::chrono::microseconds(m_random.Below(35000));
-      Schedule(m_now + phase, [this, balancer] { ScheduleMaintenance(balancer); });
-      Schedule(m_now + phase, [this, balancer] { ScheduleRelease(balancer); });
+      const auto phase_us =
+          std::chrono::microseconds(m_random.Below(std::chrono::microseconds(m_pattern.m_report_interval).count()));
+      Schedule(m_now + phase_us, [this, balancer] { ScheduleMaintenance(balancer); });
+      Schedule(m_now + phase_us, [this, balancer] { ScheduleRelease(balancer); });
     }
     while (!m_events.empty()) {
       const Event event = m_events.top();
@@ -83,13 +49,16 @@
   }
 
  private:
-  static constexpr milliseconds kObjective{120};
   // A client gives up its first attempt after this long, retries once after a pause, and gives the request up at the
   // deadline.
   static constexpr milliseconds kAttemptTimeout{1400};
   static constexpr milliseconds kRetryPause{100};
   static constexpr milliseconds kDeadline{2000};
   static constexpr milliseconds kOneWayDelay{3};
+  // Time until control hosts have published that a data centre is down or back.
+  static constexpr milliseconds kControlDelay{1000};
+  static constexpr std::uint32_t kOrdinaryClients = 200;
+  static constexpr std::size_t kMaxRecipientsAcrossDataCentres = 16;
   static constexpr std::uint32_t kSlots = 2;
   static constexpr std::size_t kQueueCapacity = 8;
 
@@ -106,6 +75,8 @@
     std::queue<std::uint32_t> m_queue;
   };
   struct Flow {
+    // Index of the request's outcome.
+    std::uint32_t m_request = 0;
     TimePoint m_requested_at;
     // Start of the attempt that this flow belongs to.
     TimePoint m_attempt_start;
@@ -116,24 +87,54 @@
   };
 
   void StartBalancers() {
-    std::vector<HostId> hosts;
-    for (std::uint32_t host = 1; host <= m_pattern.m_balancers; ++host) hosts.push_back(HostId{host});
-    m_balancers.clear();
+    m_balancers.resize(m_pattern.m_balancers);
     m_waiting = std::vector<AdmissionQueue>(m_pattern.m_balancers);
-    PublishedState state = MakeState();
-    state.m_routing.m_routes[kPublicAddress].m_objective_ms = static_cast<std::uint32_t>(kObjective.count());
-    for (std::uint32_t host = 1; host <= m_pattern.m_balancers; ++host) {
-      SteeringOptions options;
-      options.m_self = HostId{host};
-      options.m_data_centre = "a";
-      m_balancers.push_back(std::make_unique<CookieSteering>(options, m_make_choice(host), Random(host)));
-      CookieSteering& balancer = *m_balancers.back();
-      (void)balancer.Update(m_now, MakeUpdate({}, state));
-      for (std::uint32_t number = 0; number < m_pattern.m_targets; ++number) {
-        (void)balancer.Merge(m_now, {MakeTarget(number), 0});
-      }
-      balancer.SetBalancers(hosts);
+    m_demand = ReportedDemand(m_pattern);
+    for (std::uint32_t index = 0; index < m_pattern.m_balancers; ++index) StartBalancer(index);
+  }
+
+  void StartBalancer(std::uint32_t index) {
+    const HostId host{index + 1};
+    SteeringOptions options;
+    options.m_self = host;
+    options.m_data_centre = DataCentreOf(m_pattern, index);
+    options.m_rate_shares = m_pattern.m_mode == PriorityMode::kRateShares;
+    m_balancers[index] = std::make_unique<CookieSteering>(options, m_make_choice(host.m_value), Random(host.m_value));
+    (void)m_balancers[index]->Update(m_now, MakeUpdate({}, PublishedStateOf(m_pattern, 1)));
+    for (std::uint32_t number = 0; number < m_pattern.m_targets; ++number) {
+      (void)m_balancers[index]->Merge(m_now, {MakeTarget(number, DataCentreOf(m_pattern, number)), 0});
+    }
+    m_balancers[index]->SetBalancers(HostsOf(m_pattern, false));
+    m_waiting[index] = {};
+  }
+
+  [[nodiscard]] bool IsDown(std::uint32_t number) const {
+    return m_pattern.m_data_centre_out && InBurst() && IsInLastDataCentre(m_pattern, number);
+  }
+
+  void ScheduleFaults() {
+    const TimePoint start = m_start + m_pattern.m_burst_start;
+    const TimePoint end = m_start + m_pattern.m_burst_end;
+    if (m_pattern.m_data_centre_out) {
+      Schedule(start + kControlDelay, [this] { PublishDataCentre(2, true); });
+      Schedule(end, [this] {
+        for (std::uint32_t index = 0; index < m_pattern.m_balancers; ++index) {
+          if (IsInLastDataCentre(m_pattern, index)) StartBalancer(index);
+        }
+      });
+      Schedule(end + kControlDelay, [this] { PublishDataCentre(3, false); });
+    }
+    if (m_pattern.m_restart) Schedule(start + (end - start) / 2, [this] { StartBalancer(0); });
+  }
+
+  void PublishDataCentre(std::uint64_t index, bool out) {
+    PublishedState state = PublishedStateOf(m_pattern, index);
+    if (out) state.m_data_centres_out.insert(DataCentreOf(m_pattern, m_pattern.m_data_centres - 1));
+    for (auto& balancer : m_balancers) {
+      (void)balancer->Update(m_now, MakeUpdate({}, state));
+      balancer->SetBalancers(HostsOf(m_pattern, out));
     }
+    if (out) m_demand.RemoveLastDataCentre();
   }
 
   [[nodiscard]] TimePoint OutageEnd() const { return m_start + m_pattern.m_burst_start + m_pattern.m_outage; }
@@ -148,6 +149,10 @@
   [[nodiscard]] bool InBurst() const {
     return m_now >= m_start + m_pattern.m_burst_start && m_now < m_start + m_pattern.m_burst_end;
   }
+  [[nodiscard]] bool ReportsArrive() const {
+    return !m_pattern.m_reports_stop || m_now < m_start + m_pattern.m_burst_start - milliseconds(1000) ||
+           m_now >= m_start + m_pattern.m_burst_end;
+  }
   [[nodiscard]] bool IsPastBurstStart() const { return m_now >= m_start + m_pattern.m_burst_start; }
 
   void ScheduleArrivals() {
@@ -167,52 +172,97 @@
 
   void SendRequest() {
     ++m_result.m_requests;
-    StartAttempt(m_now, false);
+    RequestOutcome outcome;
+    outcome.m_sent = m_now - m_start;
+    outcome.m_priority = DrawPriority(m_pattern, &m_random);
+    if (m_pattern.m_greedy_factor > 0) {
+      outcome.m_is_greedy = m_random.Below(kOrdinaryClients + m_pattern.m_greedy_factor) >= kOrdinaryClients;
+    }
+    m_result.m_outcomes.push_back(outcome);
+    StartAttempt(m_result.m_requests - 1, m_now, false);
     m_result.m_requests_after_outage += WasSentAfterOutage(m_flows.back()) ? 1 : 0;
   }
 
-  void StartAttempt(TimePoint first_sent, bool is_retry) {
+  std::uint32_t DrawBalancer() {
+    auto drawn = static_cast<std::uint32_t>(m_random.Below(m_pattern.m_balancers));
+    while (IsDown(drawn)) drawn = static_cast<std::uint32_t>(m_random.Below(m_pattern.m_balancers));
+    return drawn;
+  }
+
+  void StartAttempt(std::uint32_t request, TimePoint first_sent, bool is_retry) {
     const auto id = static_cast<std::uint32_t>(m_flows.size());
-    m_flows.push_back(
-        {first_sent, m_now, static_cast<std::uint32_t>(m_random.Below(m_pattern.m_balancers)), 0, 0, false});
+    ++m_result.m_outcomes[request].m_tries;
+    m_flows.push_back({request, first_sent, m_now, DrawBalancer(), 0, 0, false});
     if (!is_retry) {
-      Schedule(m_now + kAttemptTimeout + kRetryPause, [this, id, first_sent] {
-        if (!m_flows[id].m_open) StartAttempt(first_sent, true);
+      Schedule(m_now + kAttemptTimeout + kRetryPause, [this, id, request, first_sent] {
+        if (!m_flows[id].m_open) StartAttempt(request, first_sent, true);
       });
     }
     for (const auto& [copy, delay_ms] : {std::pair(0U, 0), std::pair(1U, 200), std::pair(2U, 600)}) {
       Schedule(m_now + kOneWayDelay + milliseconds(delay_ms), [this, id, retransmissions = copy] {
-        if (!m_flows[id].m_open) SendOpeningPacket(id, OpeningPacket(id, retransmissions));
+        if (!m_flows[id].m_open) SendOpeningPacket(id, MakeOpeningPacket(id, retransmissions));
       });
     }
   }
 
+  [[nodiscard]] CookiePacket MakeOpeningPacket(std::uint32_t id, std::uint32_t retransmissions = 0) const {
+    CookiePacket packet = OpeningPacket(id, retransmissions);
+    const RequestOutcome& request = m_result.m_outcomes[m_flows[id].m_request];
+    packet.m_endpoints.m_service = AddressOf(request.m_priority);
+    if (m_pattern.m_greedy_factor == 0) return packet;
+    const std::uint32_t client = request.m_is_greedy ? kOrdinaryClients : m_flows[id].m_request % kOrdinaryClients;
+    packet.m_endpoints.m_client = {IpAddress::FromV4(0x64400000 + client), static_cast<std::uint16_t>(id)};
+    return packet;
+  }
+
+  [[nodiscard]] CookiePacket MakeLaterPacket(std::uint32_t id, bool closing) const {
+    CookiePacket packet = MakeOpeningPacket(id);
+    packet.m_opening = false;
+    packet.m_closing = closing;
+    packet.m_cookie = m_flows[id].m_cookie;
+    return packet;
+  }
+
+  void RetryRefused(std::uint32_t id) {
+    const Flow flow = m_flows[id];
+    if (m_result.m_outcomes[flow.m_request].m_tries > m_pattern.m_retries) return;
+    const auto pause = milliseconds(100 + m_random.Below(200));
+    Schedule(m_now + kOneWayDelay + pause, [this, flow] { StartAttempt(flow.m_request, flow.m_requested_at, true); });
+  }
+
   void SendOpeningPacket(std::uint32_t id, const CookiePacket& packet) {
-    if (InOutage()) return;
+    if (InOutage() || IsDown(m_flows[id].m_balancer)) return;
     ApplyDecision(id, packet, m_now - packet.m_age, m_balancers[m_flows[id].m_balancer]->Steer(m_now, packet));
   }
 
   // Returns false if the packet is held.
   bool ApplyDecision(std::uint32_t id, const CookiePacket& packet, TimePoint first_sent,
                      const SteeringDecision& decision) {
+    m_result.m_decisions = MixHash(m_result.m_decisions ^ static_cast<std::uint64_t>(decision.m_action),
+                                   MixHash(id, decision.m_target.m_value));
     if (decision.m_action == SteeringAction::kHold) {
       m_waiting[m_flows[id].m_balancer].Put(
-          {packet, decision.m_priority, first_sent, {}, decision.m_objective_deadline});
+          {packet, decision.m_priority, first_sent, BytesOf(id), decision.m_objective_deadline});
       return false;
     }
+    if (decision.m_placed) m_result.m_placements.push_back(m_now - m_start);
     if (decision.m_action == SteeringAction::kForward) DeliverToTarget(id, decision);
+    if (decision.m_action == SteeringAction::kReset && m_pattern.m_retries > 0 && !m_flows[id].m_open) {
+      m_flows[id].m_open = true;
+      RetryRefused(id);
+    }
     return true;
   }
 
   void DeliverToTarget(std::uint32_t id, const SteeringDecision& decision) {
     const auto number = static_cast<std::uint32_t>(decision.m_target.m_value - 0x1000);
-    if (IsPastBurstStart() && number < m_pattern.m_dead_targets) return;
+    if ((IsPastBurstStart() && number < m_pattern.m_dead_targets) || IsDown(number)) return;
     if (m_flows[id].m_open || m_now - m_flows[id].m_attempt_start > kAttemptTimeout) return;
     m_flows[id].m_open = true;
     m_flows[id].m_target = number;
     m_flows[id].m_cookie = decision.m_cookie;
     Schedule(m_now + kOneWayDelay * 2, [this, id] {
-      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, LaterPacket(id, m_flows[id].m_cookie));
+      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, MakeLaterPacket(id, false));
       Enqueue(id);
     });
   }
@@ -221,6 +271,8 @@
     Target& target = m_targets[m_flows[id].m_target];
     if (target.m_running >= kSlots && target.m_queue.size() >= kQueueCapacity) {
       ++m_result.m_shed;
+      ++m_result.m_outcomes[m_flows[id].m_request].m_shed;
+      if (m_pattern.m_retries > 0) RetryRefused(id);
       return Close(id);
     }
     target.m_queue.push(id);
@@ -246,7 +298,8 @@
 
   void Answer(std::uint32_t id) {
     const Duration took = m_now + kOneWayDelay - m_flows[id].m_requested_at;
-    if (took <= kObjective) {
+    if (took <= kDeadline) m_result.m_outcomes[m_flows[id].m_request].m_took = took;
+    if (took <= m_pattern.m_objective) {
       ++m_result.m_in_time;
       m_result.m_in_time_after_outage += WasSentAfterOutage(m_flows[id]) ? 1 : 0;
     } else if (took <= kDeadline) {
@@ -256,43 +309,62 @@
   }
 
   void Close(std::uint32_t id) {
-    Schedule(m_now + kOneWayDelay * 2, [this, id] {
-      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, LaterPacket(id, m_flows[id].m_cookie, true));
-    });
+    Schedule(m_now + kOneWayDelay * 2,
+             [this, id] { (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, MakeLaterPacket(id, true)); });
   }
 
   void ScheduleMaintenance(std::uint32_t index) {
-    if (!InOutage()) RunMaintenance(index);
-    Schedule(m_now + milliseconds(35), [this, index] { ScheduleMaintenance(index); });
+    if (!InOutage() && !IsDown(index)) RunMaintenance(index);
+    Schedule(m_now + m_pattern.m_report_interval, [this, index] { ScheduleMaintenance(index); });
   }
 
   void RunMaintenance(std::uint32_t index) {
     CookieSteering& balancer = *m_balancers[index];
     balancer.RefreshLoadCounts(m_now);
     balancer.Tick(m_now);
+    const ServiceRoom* room = balancer.Shares().Room(kService);
+    if (room != nullptr) m_result.m_highest_room = std::max(m_result.m_highest_room, room->m_requests_per_second);
+    if (!ReportsArrive()) return;
+    const bool to_all = m_pattern.m_balancers <= kMaxRecipientsAcrossDataCentres;
     const LoadReport report = balancer.MakeReport();
     for (std::uint32_t other = 0; other < m_pattern.m_balancers; ++other) {
-      if (other != index) m_balancers[other]->Receive(m_now, report);
+      const bool is_recipient = to_all || DataCentreOf(m_pattern, other) == DataCentreOf(m_pattern, index);
+      if (is_recipient && other != index && !IsDown(other)) m_balancers[other]->Receive(m_now, report);
     }
+    m_demand.Publish(index, balancer.Shares().OfferedRates(m_now, kService));
   }
 
   void ScheduleRelease(std::uint32_t index) {
-    if (!InOutage()) Release(index);
+    if (!InOutage() && !IsDown(index)) Release(index);
     Schedule(m_now + milliseconds(15), [this, index] { ScheduleRelease(index); });
   }
 
   void Release(std::uint32_t index) {
     CookieSteering& balancer = *m_balancers[index];
+    if (ReportsArrive()) balancer.SetDemand(m_now, kService, m_demand.Others(index));
     m_waiting[index].Expire(m_now);
+    for (const ReleasedPacket& released : balancer.ReleaseSharedPackets(m_now, &m_waiting[index])) {
+      const WaitingPacket& packet = released.m_packet;
+      ApplyDecision(IdOf(packet), packet.m_packet, packet.m_first_sent, released.m_decision);
+    }
+    const std::set<Endpoint> shared = balancer.AddressesShortOfRoom();
     for (std::size_t budget = balancer.ReleaseBudget(m_now); budget > 0; --budget) {
-      const std::optional<WaitingPacket> packet = m_waiting[index].TakeNext(m_now);
+      const std::optional<WaitingPacket> packet = m_waiting[index].TakeNext(m_now, shared);
       if (!packet) break;
-      const std::uint32_t id = packet->m_packet.m_endpoints.m_client.m_address.ToV4() - 0x64400000;
-      if (!ApplyDecision(id, packet->m_packet, packet->m_first_sent,
+      if (!ApplyDecision(IdOf(*packet), packet->m_packet, packet->m_first_sent,
                          balancer.SteerWaiting(m_now, packet->m_packet, packet->m_first_sent))) {
         break;
       }
     }
+    if (m_pattern.m_retries > 0) RefuseExcess(index);
+  }
+
+  void RefuseExcess(std::uint32_t index) {
+    SteeringDecision refused;
+    refused.m_action = SteeringAction::kReset;
+    for (const WaitingPacket& packet : m_waiting[index].RemoveExcess(m_balancers[index]->WaitingLimit(m_now))) {
+      ApplyDecision(IdOf(packet), packet.m_packet, packet.m_first_sent, refused);
+    }
   }
 
   LoadPattern m_pattern;
@@ -305,6 +377,7 @@
   std::vector<std::unique_ptr<CookieSteering>> m_balancers;
   std::vector<Target> m_targets;
   std::vector<AdmissionQueue> m_waiting;
+  ReportedDemand m_demand;
   std::vector<Flow> m_flows;
   LoadResult m_result;
 };
