Merge rate shares by priority

Cause: while a service is short of room, each balancer admitted by its own queue, so that the priority of a route decided nothing and full targets shed what came. Change: PriorityShares, on where the setting rate_shares is on and routes of a service have several priorities; LoadView gives it the demand of the other balancers, and learns from it when a service is short.

--- a/src/balancer/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -113,6 +113,7 @@
     const std::vector<HostId> recipients = m_steering.View().ReportRecipients();
     const Duration interval = m_steering.View().ReportInterval();
     m_steering.RefreshLoadCounts(now);
+    ReportShares();
     const LoadReport report = m_steering.MakeReport();
     // One empty report after one with load tells the other balancers that the load has ended.
     if (!report.m_loads.empty() || m_last_report_nonempty) {
--- a/src/config/steering_balancer_settings.h
+++ b/src/config/steering_balancer_settings.h
@@ -21,6 +21,8 @@
   std::chrono::milliseconds m_stop_grace{6000};
   /// Rate of this host's uplink in megabits per second, to which packets to targets are paced; 0 if it has no limit.
   double m_link_mbps = 0;
+  /// Divides the room of a service among balancers and priorities while the service is short of room.
+  bool m_rate_shares = false;
 };
 
 /// Parses settings in JSON with comments. Errors: those of `ParseJson` and `ObjectReader`.
