Place new flows by the remaining work of targets

Cause: requests that look alike cost very different work, and targets differ in speed; the choice by expected time sees only counts of flows. Change: WorkEstimator learns the work of each route and the speed of each target from the packets of clients; MakeRemainingWorkChoice compares the expected time to finish, and decides less strictly the older the load reports are.

--- a/include/fighatch/cookie_packet.h
+++ b/include/fighatch/cookie_packet.h
@@ -31,6 +31,10 @@
   Duration m_age{0};
   /// The last cookie that the client received on the flow; 0 if none.
   std::uint32_t m_cookie = 0;
+  /// Sequence number of the packet's first data byte; it wraps.
+  std::uint32_t m_sequence = 0;
+  /// Number of data bytes; 0 for a packet that only acknowledges, opens or closes.
+  std::uint32_t m_payload_bytes = 0;
 };
 
 }  // namespace fighatch
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -19,6 +19,7 @@
 #include "fighatch/sync_message.h"
 #include "fighatch/target_choice.h"
 #include "fighatch/target_table.h"
+#include "fighatch/work_estimator.h"
 
 namespace fighatch {
 
@@ -45,6 +46,8 @@
   /// from.
   std::uint32_t m_flows_at_target = 0;
   std::uint32_t m_candidates = 0;
+  /// The expected time to finish in milliseconds that decided, if the strategy needs work estimates.
+  std::optional<double> m_expected_ms;
   /// For packets to hold: priority of the packet's route, and until when an answer meets the route's latency objective;
   /// unset if the route has no objective or is not known yet.
   std::uint32_t m_priority = 0;
@@ -124,6 +127,8 @@
   [[nodiscard]] const PublishedState& State() const noexcept { return m_state; }
   [[nodiscard]] TargetTable& Targets() noexcept { return m_targets; }
   [[nodiscard]] std::size_t OpenFlows() const noexcept { return m_flows.Size(); }
+  /// Number of requests whose work was learned; 0 if the strategy does not need it.
+  [[nodiscard]] std::uint64_t WorkSamples() const noexcept { return m_work_samples; }
 
  private:
   struct ReceivedReport {
@@ -164,6 +169,17 @@
   void RecordUnanswered(TimePoint now, SteeringTarget* target);
   void RecordAnswered(SteeringTarget* target);
   void SetCountsAsLoad(PlacedFlow* flow, bool counts_as_load);
+  // Updates the request in progress of a flow by one of its packets.
+  void RecordRequestProgress(TimePoint now, const CookiePacket& packet, PlacedFlow* flow, SteeringTarget* target);
+  void BeginRequest(TimePoint now, PlacedFlow* flow, SteeringTarget* target);
+  // Moves the start of the request in progress, since more of it was sent.
+  void DelayRequest(PlacedFlow* flow, SteeringTarget* target, Duration delay);
+  // Ends the request in progress, if any; `seen` is false if it ended unnoticed some time ago.
+  void EndRequest(TimePoint now, PlacedFlow* flow, SteeringTarget* target, bool seen);
+  void RecordRequestEnd(TimePoint now, const PlacedFlow& flow, SteeringTarget* target, bool seen);
+  void AverageRemoteFlows(TimePoint now);
+  // Brings the estimates of work and speed up to date.
+  void RefreshWork(TimePoint now);
   void RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed);
   void RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, SteeringTarget* target);
   void SumReports();
@@ -180,6 +196,10 @@
   // Times at which this balancer placed its latest flows, by service.
   std::unordered_map<std::string, std::deque<TimePoint>> m_recent_placements;
   std::map<std::string, DataCentreHealth> m_data_centres;
+  // Set if the strategy needs it.
+  std::optional<WorkEstimator> m_work;
+  std::uint64_t m_work_samples = 0;
+  TimePoint m_remote_flows_averaged;
   std::uint64_t m_report_sequence = 0;
   TimePoint m_learning_until;
   std::optional<TimePoint> m_targets_unreachable_at;
--- a/include/fighatch/fighatch.h
+++ b/include/fighatch/fighatch.h
@@ -46,6 +46,7 @@
 #include "fighatch/member.h"
 #include "fighatch/membership.h"
 #include "fighatch/messages.h"
+#include "fighatch/open_request.h"
 #include "fighatch/outcome.h"
 #include "fighatch/outgoing_message.h"
 #include "fighatch/owner_transition.h"
@@ -94,10 +95,13 @@
 #include "fighatch/target_monitor.h"
 #include "fighatch/target_picker.h"
 #include "fighatch/target_registry.h"
+#include "fighatch/target_speed.h"
 #include "fighatch/target_table.h"
 #include "fighatch/ticket.h"
 #include "fighatch/ticket_processor.h"
 #include "fighatch/time.h"
 #include "fighatch/transition.h"
+#include "fighatch/work_estimator.h"
+#include "fighatch/work_histogram.h"
 
 #endif  // FIGHATCH_FIGHATCH_H_
--- a/include/fighatch/forward.h
+++ b/include/fighatch/forward.h
@@ -101,6 +101,7 @@
 struct MembershipSettings;
 enum class MessageType : std::uint8_t;
 struct MessageTypeName;
+struct OpenRequest;
 struct OpenedMessage;
 enum class Outcome : std::uint8_t;
 struct OutgoingMessage;
@@ -191,6 +192,7 @@
 struct TargetRefresh;
 class TargetRegistry;
 struct TargetResponded;
+struct TargetSpeed;
 enum class TargetState : std::uint8_t;
 struct TargetUse;
 struct TargetWithdrawal;
@@ -210,6 +212,9 @@
 struct VoteReply;
 struct VoteRequest;
 struct WireFlowRecord;
+class WorkEstimator;
+class WorkHistogram;
+struct WorkSample;
 
 }  // namespace fighatch
 
--- a/include/fighatch/placed_flow_table.h
+++ b/include/fighatch/placed_flow_table.h
@@ -10,6 +10,7 @@
 
 #include "fighatch/cookie_packet.h"
 #include "fighatch/ids.h"
+#include "fighatch/open_request.h"
 #include "fighatch/time.h"
 
 namespace fighatch {
@@ -25,6 +26,20 @@
   bool m_established = false;
   /// True while the flow counts as load of its target.
   bool m_counts_as_load = true;
+  /// The following members are only used for placement by remaining work. Time from placing the flow to the first later
+  /// packet: one round trip without work.
+  Duration m_open_time{0};
+  /// The request in progress; its route is that of the flow.
+  OpenRequest m_request;
+  bool m_in_request = false;
+  /// True if the request found a free slot, as far as this balancer knew.
+  bool m_found_free_slot = false;
+  /// When the last new data of the request was forwarded.
+  TimePoint m_last_data;
+  /// Sequence number of that data.
+  std::uint32_t m_last_sequence = 0;
+  /// Number of requests that the flow has carried.
+  std::uint32_t m_requests = 0;
 };
 
 /// The flows that a balancer has placed, kept to count the load of targets and to handle retransmitted opening packets.
--- a/include/fighatch/target_choice.h
+++ b/include/fighatch/target_choice.h
@@ -10,6 +10,7 @@
 
 #include "fighatch/random.h"
 #include "fighatch/target_table.h"
+#include "fighatch/work_estimator.h"
 
 namespace fighatch {
 
@@ -25,6 +26,11 @@
   double m_service_processing_ms = 0;
   /// Estimated flows that other balancers have placed at each target since their last reports.
   double m_unreported_flows = 0;
+  /// For strategies that need work estimates: the estimator, the index of the request's route in it, and how old the
+  /// latest load reports may be.
+  const WorkEstimator* m_work = nullptr;
+  std::uint32_t m_route = 0;
+  Duration m_report_lag{0};
 };
 
 /// Chooses the target of a new flow. Several strategies implement it so that they can be compared under the same load.
@@ -38,6 +44,9 @@
   /// Returns one of `candidates`, which must not be empty.
   [[nodiscard]] virtual SteeringTarget* Choose(const ChoiceContext& context,
                                                const std::vector<SteeringTarget*>& candidates) = 0;
+
+  /// True if the strategy reads `ChoiceContext::m_work` and the requests in progress, which are recorded only then.
+  [[nodiscard]] virtual bool NeedsWork() const noexcept { return false; }
 };
 
 /// Chooses uniformly at random; the baseline for comparisons.
@@ -55,6 +64,14 @@
 /// not all send to the target that looked best.
 [[nodiscard]] std::unique_ptr<ChoiceStrategy> MakeSampledExpectedTimeChoice(Random random, std::size_t samples);
 
+/// Chooses, among `samples` candidates drawn at random, the target with the lowest expected time to finish the request:
+/// the remaining work of the requests there, divided by the target's speed and slots, and the request's own work. While
+/// its route has no estimate, the choice is that of `MakeSampledExpectedTimeChoice`.
+[[nodiscard]] std::unique_ptr<ChoiceStrategy> MakeRemainingWorkChoice(Random random, std::size_t samples);
+
+/// The expected time in milliseconds that `MakeRemainingWorkChoice` compares; needs `ChoiceContext::m_work`.
+[[nodiscard]] double RemainingWorkTimeMs(const ChoiceContext& context, const SteeringTarget& target);
+
 /// The expected completion time in milliseconds that `MakeExpectedTimeChoice` compares.
 [[nodiscard]] double ExpectedTimeMs(const ChoiceContext& context, const SteeringTarget& target);
 
--- a/include/fighatch/target_table.h
+++ b/include/fighatch/target_table.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "fighatch/announced_target.h"
+#include "fighatch/open_request.h"
+#include "fighatch/target_speed.h"
 #include "fighatch/time.h"
 
 namespace fighatch {
@@ -37,6 +39,11 @@
   TimePoint m_next_cold_flow;
   /// True if another target has started later at the same address, so that this one has certainly ended.
   bool m_superseded = false;
+  /// Only for placement by remaining work: this balancer's requests in progress at the target, the moving average of
+  /// `m_remote_flows`, and the learned speed.
+  std::vector<OpenRequest> m_requests;
+  double m_mean_remote_flows = 0;
+  TargetSpeed m_speed;
 };
 
 /// The targets that a balancer knows, indexed by id, cookie, service and address. Records may arrive in any order; one
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -53,7 +53,9 @@
 }  // namespace
 
 CookieSteering::CookieSteering(const SteeringOptions& options, std::unique_ptr<ChoiceStrategy> choice, Random random)
-    : m_options(options), m_choice(std::move(choice)), m_random(random) {}
+    : m_options(options), m_choice(std::move(choice)), m_random(random) {
+  if (m_choice->NeedsWork()) m_work.emplace();
+}
 
 SteeringDecision CookieSteering::Steer(TimePoint now, const CookiePacket& packet) {
   return packet.m_opening ? PlaceFlow(now, packet, now - packet.m_age) : SteerByCookie(now, packet);
@@ -99,7 +101,12 @@
     decision->m_opened_after = now - flow->m_placed;
   }
   flow->m_last_packet = now;
-  SetCountsAsLoad(flow, true);
+  if (m_work && flow->m_target == target->m_record.m_id) {
+    if (decision->m_opened_after) flow->m_open_time = *decision->m_opened_after;
+    RecordRequestProgress(now, packet, flow, target);
+  } else {
+    SetCountsAsLoad(flow, true);
+  }
   if (!packet.m_closing) return;
   decision->m_closed_after = now - flow->m_placed;
   RecordFlowEnd(now, *m_flows.Take(packet.m_endpoints), true);
@@ -140,10 +147,16 @@
     hold.m_candidates = static_cast<std::uint32_t>(candidates.size());
     return hold;
   }
-  const ChoiceContext context{now, m_options.m_self, m_options.m_data_centre, m_service_processing_ms[service],
-                              unreported_flows};
+  ChoiceContext context{now, m_options.m_self, m_options.m_data_centre, m_service_processing_ms[service],
+                        unreported_flows};
+  if (m_work) {
+    context.m_work = &*m_work;
+    context.m_route = m_work->RouteIndex(packet.m_endpoints.m_service);
+    context.m_report_lag = m_options.m_report_lag;
+  }
   SteeringTarget* target = m_choice->Choose(context, candidates);
   SteeringDecision decision = ForwardTo(*target);
+  if (m_work) decision.m_expected_ms = RemainingWorkTimeMs(context, *target);
   decision.m_placed = true;
   decision.m_candidates = static_cast<std::uint32_t>(candidates.size());
   decision.m_flows_at_target = FlowsAt(*target);
@@ -153,7 +166,13 @@
 
 void CookieSteering::RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, SteeringTarget* target) {
   const std::uint32_t load = FlowsAt(*target) + 1;
-  if (!m_flows.Put(endpoints, {target->m_record.m_id, now, now, load, false})) return;
+  PlacedFlow flow;
+  flow.m_target = target->m_record.m_id;
+  flow.m_placed = now;
+  flow.m_last_packet = now;
+  flow.m_load_at_placement = load;
+  if (m_work) flow.m_request.m_route = m_work->RouteIndex(endpoints.m_service);
+  if (!m_flows.Put(endpoints, flow)) return;
   ++target->m_open_flows;
   ++target->m_opening_flows;
   m_recent_placements[target->m_record.m_service].push_back(now);
@@ -202,6 +221,12 @@
   } else if (target->m_open_flows > 0) {
     --target->m_open_flows;
   }
+  if (!flow->m_in_request) return;
+  if (counts_as_load) {
+    target->m_requests.push_back(flow->m_request);
+  } else {
+    RemoveRequest(flow->m_request, target);
+  }
 }
 
 void CookieSteering::RefreshLoadCounts(TimePoint now) {
@@ -209,11 +234,14 @@
     const Duration load_timeout = flow->m_established ? m_options.m_load_timeout : m_options.m_opening_load_timeout;
     if (now - flow->m_last_packet > load_timeout) SetCountsAsLoad(flow, false);
   });
+  if (m_work) AverageRemoteFlows(now);
 }
 
 void CookieSteering::RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed) {
   SteeringTarget* target = m_targets.Find(flow.m_target);
   if (target == nullptr) return;
+  // The end of a flow with one request shows when that ended; a flow with several may have paused before.
+  if (m_work && flow.m_in_request) RecordRequestEnd(now, flow, target, completed && flow.m_requests == 1);
   if (flow.m_counts_as_load && target->m_open_flows > 0) --target->m_open_flows;
   if (!flow.m_established && target->m_opening_flows > 0) --target->m_opening_flows;
   if (!completed || !flow.m_established) return;
@@ -248,6 +276,7 @@
       m_reports, [&](const auto& entry) { return now - entry.second.m_received > m_options.m_report_lifetime; });
   if (erased > 0) SumReports();
   m_targets.RemoveExpired(now);
+  if (m_work) RefreshWork(now);
 }
 
 LoadReport CookieSteering::MakeReport() {
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -1,13 +1,20 @@
 #include "fighatch/target_choice.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <tuple>
 
 #include "fighatch/hash.h"
+#include "steering/target_load.h"
 
 namespace fighatch {
 namespace {
 
+// The queue of a target is modelled request by request up to this many slots and flows of other balancers; beyond, by
+// means.
+constexpr std::size_t kMaxModelledSlots = 8;
+constexpr std::size_t kMaxModelledOthers = 12;
 // Added for a target in another data centre: packets to it take longer and cost more.
 constexpr double kRemoteDataCentrePenaltyMs = 4;
 // Factor by which a cold target takes longer for a request.
@@ -20,6 +27,10 @@
 constexpr double kFlowCost = 0.15;
 // Weight of flows that other balancers reported: about half of them have ended by the time of the choice.
 constexpr double kReportedFlowWeight = 0.5;
+// Width of the random part of expected times, as a multiple of the mean work: `kSpread` times the square of the flows
+// that other balancers place for each slot between two reports, up to `kMaxSpread`.
+constexpr double kSpread = 0.05;
+constexpr double kMaxSpread = 2;
 // Each consecutive unanswered opening packet counts as this many additional flows at the target.
 constexpr std::uint32_t kFlowsPerUnanswered = 2;
 
@@ -50,6 +61,17 @@
   return best;
 }
 
+std::vector<SteeringTarget*> DrawCandidates(const std::vector<SteeringTarget*>& candidates, std::size_t samples,
+                                            Random* random) {
+  std::vector<SteeringTarget*> drawn = candidates;
+  const std::size_t count = std::min(samples, drawn.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    std::swap(drawn[index], drawn[index + random->Below(drawn.size() - index)]);
+  }
+  drawn.resize(count);
+  return drawn;
+}
+
 class LocalLeastFlowsChoice : public ChoiceStrategy {
  public:
   [[nodiscard]] std::string_view Name() const noexcept override { return "local_least_flows"; }
@@ -76,13 +98,7 @@
   [[nodiscard]] std::string_view Name() const noexcept override { return "sampled_expected_time"; }
   [[nodiscard]] SteeringTarget* Choose(const ChoiceContext& context,
                                        const std::vector<SteeringTarget*>& candidates) override {
-    std::vector<SteeringTarget*> drawn = candidates;
-    const std::size_t count = std::min(m_samples, drawn.size());
-    for (std::size_t index = 0; index < count; ++index) {
-      std::swap(drawn[index], drawn[index + m_random.Below(drawn.size() - index)]);
-    }
-    drawn.resize(count);
-    return LowestCostTarget(context.m_balancer, drawn,
+    return LowestCostTarget(context.m_balancer, DrawCandidates(candidates, m_samples, &m_random),
                             [&context](const SteeringTarget& target) { return ExpectedTimeMs(context, target); });
   }
 
@@ -91,8 +107,139 @@
   std::size_t m_samples;
 };
 
+// The requests at a target before a new one, by work in milliseconds.
+class TargetQueue {
+ public:
+  explicit TargetQueue(std::size_t slots) : m_slots(slots) {}
+
+  // Adds a request to the slot that becomes free first.
+  void Add(double running_ms, double queued_ms) {
+    const std::size_t count = std::min(m_slots, kMaxModelledSlots);
+    double* first = std::min_element(m_busy_ms.data(), m_busy_ms.data() + count);
+    const double work_ms = *first > 0 ? queued_ms : running_ms;
+    *first += work_ms;
+    m_total_ms += work_ms;
+  }
+
+  // The mean work until a slot is free, if a number of other requests with the mean `others` (Poisson) is there too.
+  [[nodiscard]] double MeanStartMs(double others, double residual_ms, double mean_ms) {
+    if (m_slots > kMaxModelledSlots || others > kMaxModelledOthers / 2.0) {
+      const auto slots = static_cast<double>(m_slots);
+      return std::max(0.0, m_total_ms + others * mean_ms - (slots - 1) * residual_ms) / slots;
+    }
+    double probability = std::exp(-others);
+    double left = 1;
+    double start_ms = 0;
+    for (std::size_t count = 0; count < kMaxModelledOthers && left > kNegligible; ++count) {
+      start_ms += probability * FirstFreeMs();
+      left -= probability;
+      Add(residual_ms, mean_ms);
+      probability *= others / static_cast<double>(count + 1);
+    }
+    return start_ms + std::max(left, 0.0) * FirstFreeMs();
+  }
+
+ private:
+  static constexpr double kNegligible = 1e-3;
+
+  [[nodiscard]] double FirstFreeMs() const {
+    return *std::min_element(m_busy_ms.data(), m_busy_ms.data() + std::min(m_slots, kMaxModelledSlots));
+  }
+
+  std::size_t m_slots;
+  std::array<double, kMaxModelledSlots> m_busy_ms{};
+  double m_total_ms = 0;
+};
+
+// Time for which a request counts as load; at least 1.
+double CountedTimeMs(const ChoiceContext& context) {
+  return std::max(context.m_work->CountedTimeMs(context.m_route), 1.0);
+}
+
+// Flows of other balancers that are expected at the target now. Between two reports flows end and others begin, so the
+// reported number tends towards its average.
+double OtherFlows(const ChoiceContext& context, const SteeringTarget& target) {
+  const double still_valid = std::exp(-Milliseconds(context.m_report_lag) / CountedTimeMs(context));
+  const double reported =
+      target.m_mean_remote_flows + still_valid * (target.m_remote_flows - target.m_mean_remote_flows);
+  return std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered + context.m_unreported_flows;
+}
+
+// Factor by which the target takes longer for a request than the average of its service.
+double TimeFactor(const ChoiceContext& context, const SteeringTarget& target) {
+  const double learned = 1 / target.m_speed.m_speed;
+  if (context.m_service_processing_ms > 0 && target.m_processing_ms > context.m_service_processing_ms * kSlowFactor) {
+    return std::max(learned, target.m_processing_ms / context.m_service_processing_ms);
+  }
+  return target.m_cold_until > context.m_now ? learned * kColdFactor : learned;
+}
+
+// Width in milliseconds of the random part of expected times. The more flows other balancers place for each slot
+// between two reports, the less reports say about the present, and a strict comparison would send the flows of all
+// balancers to the same few targets.
+double RandomSpreadMs(const ChoiceContext& context, const std::vector<SteeringTarget*>& drawn) {
+  double flows = 0;
+  double slots = 0;
+  for (const SteeringTarget* target : drawn) {
+    flows += target->m_mean_remote_flows;
+    slots += SlotsOf(*target);
+  }
+  const double placed = flows / slots * Milliseconds(context.m_report_lag) / CountedTimeMs(context);
+  return context.m_work->MeanWorkMs(context.m_route) * std::min(kMaxSpread, kSpread * placed * placed);
+}
+
+class RemainingWorkChoice : public ChoiceStrategy {
+ public:
+  RemainingWorkChoice(Random random, std::size_t samples) : m_random(random), m_samples(samples) {}
+  [[nodiscard]] std::string_view Name() const noexcept override { return "remaining_work"; }
+  [[nodiscard]] bool NeedsWork() const noexcept override { return true; }
+  [[nodiscard]] SteeringTarget* Choose(const ChoiceContext& context,
+                                       const std::vector<SteeringTarget*>& candidates) override {
+    const std::vector<SteeringTarget*> drawn = DrawCandidates(candidates, m_samples, &m_random);
+    const double spread_ms = context.m_work->HasEstimate(context.m_route) ? RandomSpreadMs(context, drawn) : 0;
+    return LowestCostTarget(context.m_balancer, drawn, [&](const SteeringTarget& target) {
+      const double expected_ms = RemainingWorkTimeMs(context, target);
+      return spread_ms > 0 ? expected_ms - spread_ms * RandomBonus(context, target) : expected_ms;
+    });
+  }
+
+ private:
+  // With this bonus (Gumbel distribution) alone, targets are chosen in proportion to their capacity.
+  [[nodiscard]] double RandomBonus(const ChoiceContext& context, const SteeringTarget& target) {
+    const double capacity = SlotsOf(target) / TimeFactor(context, target);
+    return std::log(capacity) - std::log(-std::log(std::max(m_random.NextDouble(), kLowestDraw)));
+  }
+
+  static constexpr double kLowestDraw = 1e-12;
+
+  Random m_random;
+  std::size_t m_samples;
+};
+
 }  // namespace
 
+double RemainingWorkTimeMs(const ChoiceContext& context, const SteeringTarget& target) {
+  const WorkEstimator& work = *context.m_work;
+  if (!work.HasEstimate(context.m_route)) return ExpectedTimeMs(context, target);
+  const double mean_ms = work.MeanWorkMs(context.m_route);
+  const double residual_ms = work.ResidualWorkMs(context.m_route);
+  const double factor = TimeFactor(context, target);
+  TargetQueue queue(SlotsOf(target));
+  for (const OpenRequest& request : target.m_requests) {
+    const double done_ms = std::max(0.0, Milliseconds(context.m_now - request.m_started)) / factor;
+    const double remaining_ms = work.RemainingWorkMs(request.m_route, done_ms);
+    queue.Add(remaining_ms, remaining_ms);
+  }
+  for (std::size_t count = target.m_requests.size(); count < target.m_open_flows; ++count) queue.Add(mean_ms, mean_ms);
+  const double others = OtherFlows(context, target);
+  const double start_ms = queue.MeanStartMs(others, residual_ms, mean_ms);
+  const double remote_penalty_ms =
+      target.m_record.m_data_centre == context.m_data_centre ? 0 : kRemoteDataCentrePenaltyMs;
+  // Counts of flows may be outdated and announced slots wrong, so flows cost a little even if a slot seems free.
+  const double flow_cost = kFlowCost * (target.m_open_flows + others) / SlotsOf(target);
+  return (start_ms + mean_ms * (1 + flow_cost)) * factor + remote_penalty_ms;
+}
+
 double ExpectedTimeMs(const ChoiceContext& context, const SteeringTarget& target) {
   double processing_ms = context.m_service_processing_ms > 0 ? context.m_service_processing_ms : kDefaultProcessingMs;
   if (target.m_processing_ms > processing_ms * kSlowFactor) {
@@ -117,6 +264,10 @@
   return std::make_unique<SampledExpectedTimeChoice>(random, samples);
 }
 
+std::unique_ptr<ChoiceStrategy> MakeRemainingWorkChoice(Random random, std::size_t samples) {
+  return std::make_unique<RemainingWorkChoice>(random, samples);
+}
+
 std::unique_ptr<ChoiceStrategy> MakeExpectedTimeChoice() { return std::make_unique<ExpectedTimeChoice>(); }
 
 }  // namespace fighatch
--- a/src/steering/target_load.h
+++ b/src/steering/target_load.h
@@ -27,6 +27,14 @@
   return std::max<std::uint32_t>(target.m_record.m_slots, 1);
 }
 
+/// Removes a request in progress; equal ones are interchangeable.
+inline void RemoveRequest(const OpenRequest& request, SteeringTarget* target) {
+  const auto found = std::find(target->m_requests.begin(), target->m_requests.end(), request);
+  if (found == target->m_requests.end()) return;
+  *found = target->m_requests.back();
+  target->m_requests.pop_back();
+}
+
 [[nodiscard]] inline double Milliseconds(Duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
 }
--- a/tests/steering_simulation.h
+++ b/tests/steering_simulation.h
@@ -1,14 +1,17 @@
 #ifndef FIGHATCH_TESTS_STEERING_SIMULATION_H_
 #define FIGHATCH_TESTS_STEERING_SIMULATION_H_
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <queue>
 #include <vector>
 
 #include "fighatch/admission_queue.h"
+#include "fighatch/hash.h"
 #include "steering_fixture.h"
 
 namespace fighatch::testing_support {
@@ -34,8 +37,32 @@
   /// For this long from the burst's start no balancer runs; then all balancers are started anew.
   milliseconds m_outage{0};
   std::uint64_t m_seed = 1;
+  /// Speeds of the targets, repeated in this order; a target of speed 2 takes half the time.
+  std::vector<double> m_speeds{1};
+  /// This share of the requests takes `m_expensive_factor` times the work.
+  double m_expensive_share = 0;
+  double m_expensive_factor = 7;
+  /// Load reports arrive this much later.
+  milliseconds m_report_delay{0};
+  /// This many targets announce four times their slots.
+  std::uint32_t m_misreporting_targets = 0;
+  /// This many of the last targets start at the burst's start; they are cold for 2 s and take `m_cold_factor` times as
+  /// long meanwhile.
+  std::uint32_t m_cold_targets = 0;
+  double m_cold_factor = 3;
 };
 
+/// The rate in flows per second that uses the share `load` of the capacity of a pattern's slots.
+inline double RateAtLoad(const LoadPattern& pattern, double load) {
+  double speeds = 0;
+  for (std::uint32_t target = 0; target < pattern.m_targets; ++target) {
+    speeds += pattern.m_speeds[target % pattern.m_speeds.size()];
+  }
+  const double work_ms =
+      pattern.m_mean_processing_ms * (1 + pattern.m_expensive_share * (pattern.m_expensive_factor - 1));
+  return load * 2 * speeds * 1000 / work_ms;
+}
+
 /// Number of requests by outcome, as callers saw it.
 struct LoadResult {
   std::uint32_t m_requests = 0;
@@ -50,6 +77,16 @@
   }
   [[nodiscard]] double ServedShare() const { return static_cast<double>(m_in_time + m_late) / m_requests; }
   [[nodiscard]] double InTimeShare() const { return static_cast<double>(m_in_time) / m_requests; }
+  /// Times to the answers in milliseconds; requests without an answer have none.
+  std::vector<double> m_answer_ms;
+  /// The 99th percentile of the times to an answer over all requests; those without an answer count as slowest.
+  [[nodiscard]] double P99Ms() const {
+    std::vector<double> times = m_answer_ms;
+    times.resize(std::max<std::size_t>(m_requests, times.size()), std::numeric_limits<double>::infinity());
+    const auto at = times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
+    std::nth_element(times.begin(), at, times.end());
+    return *at;
+  }
 };
 
 /// Discrete-event simulation of a load pattern in virtual time. Targets (slots, and a queue that sheds requests when it
@@ -66,6 +103,7 @@
 
   LoadResult Run() {
     ScheduleArrivals();
+    if (m_pattern.m_cold_targets > 0) Schedule(m_start + m_pattern.m_burst_start, [this] { StartColdTargets(); });
     if (m_pattern.m_outage.count() > 0) Schedule(OutageEnd(), [this] { StartBalancers(); });
     for (std::uint32_t balancer = 0; balancer < m_pattern.m_balancers; ++balancer) {
       const auto phase = std::chrono::microseconds(m_random.Below(35000));
@@ -91,6 +129,8 @@
   static constexpr milliseconds kDeadline{2000};
   static constexpr milliseconds kOneWayDelay{3};
   static constexpr std::uint32_t kSlots = 2;
+  static constexpr milliseconds kReportInterval{35};
+  static constexpr milliseconds kColdPeriod{2000};
   static constexpr std::size_t kQueueCapacity = 8;
 
   struct Event {
@@ -130,9 +170,25 @@
       CookieSteering& balancer = *m_balancers.back();
       (void)balancer.Update(m_now, MakeUpdate({}, state));
       for (std::uint32_t number = 0; number < m_pattern.m_targets; ++number) {
-        (void)balancer.Merge(m_now, {MakeTarget(number), 0});
+        if (number + m_pattern.m_cold_targets < m_pattern.m_targets) (void)balancer.Merge(m_now, {Record(number), 0});
       }
       balancer.SetBalancers(hosts);
+      if (m_pattern.m_report_delay.count() > 0) balancer.SetReportLag(kReportInterval + m_pattern.m_report_delay);
+    }
+  }
+
+  [[nodiscard]] AnnouncedTarget Record(std::uint32_t number) const {
+    AnnouncedTarget record = MakeTarget(number);
+    if (number < m_pattern.m_misreporting_targets) record.m_slots *= 4;
+    return record;
+  }
+
+  void StartColdTargets() {
+    for (std::uint32_t number = m_pattern.m_targets - m_pattern.m_cold_targets; number < m_pattern.m_targets;
+         ++number) {
+      AnnouncedTarget record = Record(number);
+      record.m_cold_left_ms = static_cast<std::uint32_t>(kColdPeriod.count());
+      for (const auto& balancer : m_balancers) (void)balancer->Merge(m_now, {record, 0});
     }
   }
 
@@ -212,7 +268,9 @@
     m_flows[id].m_target = number;
     m_flows[id].m_cookie = decision.m_cookie;
     Schedule(m_now + kOneWayDelay * 2, [this, id] {
-      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, LaterPacket(id, m_flows[id].m_cookie));
+      CookiePacket request = LaterPacket(id, m_flows[id].m_cookie);
+      request.m_payload_bytes = 1;
+      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, request);
       Enqueue(id);
     });
   }
@@ -233,9 +291,7 @@
       const std::uint32_t id = target.m_queue.front();
       target.m_queue.pop();
       ++target.m_running;
-      const bool slow = IsPastBurstStart() && number < m_pattern.m_slow_targets;
-      const double spread = 0.5 + m_random.NextDouble();
-      const double processing_ms = m_pattern.m_mean_processing_ms * spread * (slow ? m_pattern.m_slow_factor : 1);
+      const double processing_ms = m_pattern.m_mean_processing_ms * WorkFactor(id) * TimeFactor(number);
       Schedule(m_now + std::chrono::microseconds(static_cast<std::int64_t>(processing_ms * 1000)), [this, id, number] {
         --m_targets[number].m_running;
         Answer(id);
@@ -244,8 +300,25 @@
     }
   }
 
+  [[nodiscard]] double WorkFactor(std::uint32_t id) {
+    if (m_pattern.m_expensive_share <= 0) return 0.5 + m_random.NextDouble();
+    // The same for all strategies, so that they are compared on the same requests.
+    Random work(MixHash(m_pattern.m_seed, id));
+    const double spread = 0.5 + work.NextDouble();
+    return work.NextDouble() < m_pattern.m_expensive_share ? spread * m_pattern.m_expensive_factor : spread;
+  }
+
+  [[nodiscard]] double TimeFactor(std::uint32_t number) const {
+    double factor = 1 / m_pattern.m_speeds[number % m_pattern.m_speeds.size()];
+    if (IsPastBurstStart() && number < m_pattern.m_slow_targets) factor *= m_pattern.m_slow_factor;
+    const bool is_cold = m_now < m_start + m_pattern.m_burst_start + kColdPeriod &&
+                         number + m_pattern.m_cold_targets >= m_pattern.m_targets;
+    return is_cold ? factor * m_pattern.m_cold_factor : factor;
+  }
+
   void Answer(std::uint32_t id) {
     const Duration took = m_now + kOneWayDelay - m_flows[id].m_requested_at;
+    m_result.m_answer_ms.push_back(std::chrono::duration<double, std::milli>(took).count());
     if (took <= kObjective) {
       ++m_result.m_in_time;
       m_result.m_in_time_after_outage += WasSentAfterOutage(m_flows[id]) ? 1 : 0;
@@ -263,7 +336,7 @@
 
   void ScheduleMaintenance(std::uint32_t index) {
     if (!InOutage()) RunMaintenance(index);
-    Schedule(m_now + milliseconds(35), [this, index] { ScheduleMaintenance(index); });
+    Schedule(m_now + kReportInterval, [this, index] { ScheduleMaintenance(index); });
   }
 
   void RunMaintenance(std::uint32_t index) {
@@ -271,6 +344,11 @@
     balancer.RefreshLoadCounts(m_now);
     balancer.Tick(m_now);
     const LoadReport report = balancer.MakeReport();
+    if (m_pattern.m_report_delay.count() == 0) return Deliver(index, report);
+    Schedule(m_now + m_pattern.m_report_delay, [this, index, report] { Deliver(index, report); });
+  }
+
+  void Deliver(std::uint32_t index, const LoadReport& report) {
     for (std::uint32_t other = 0; other < m_pattern.m_balancers; ++other) {
       if (other != index) m_balancers[other]->Receive(m_now, report);
     }
