Add the setting placement and the metrics of expected times

Cause: placement by remaining work is to be used only where the settings of a balancer ask for it. Change: setting placement (expected_time, remaining_work), expected_ms in event=flow_placed, a histogram of expected times and a counter of samples; requests of other balancers count by the share of the time that they are at work.

--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -46,6 +46,16 @@
   return options;
 }
 
+Duration ToDuration(double span_ms) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(span_ms));
+}
+
+std::unique_ptr<ChoiceStrategy> MakeChoice(config::Placement placement) {
+  const Random random(RandomBits());
+  return placement == config::Placement::kRemainingWork ? MakeRemainingWorkChoice(random, kSampledTargets)
+                                                        : MakeSampledExpectedTimeChoice(random, kSampledTargets);
+}
+
 SyncClientOptions MakeSyncOptions(const config::SteeringBalancerSettings& settings) {
   SyncClientOptions options;
   options.m_self = settings.m_discovery.Self();
@@ -60,8 +70,7 @@
                                    const PacketCodec* codec)
     : m_settings(std::move(settings)),
       m_codec(codec),
-      m_steering(MakeSteeringOptions(m_settings), MakeSampledExpectedTimeChoice(Random(RandomBits()), kSampledTargets),
-                 Random(RandomBits())),
+      m_steering(MakeSteeringOptions(m_settings), MakeChoice(m_settings.m_placement), Random(RandomBits())),
       m_sync_client(MakeSyncOptions(m_settings)),
       m_seed_reload(std::move(settings_path), config::ParseSteeringBalancerSettings, &m_settings.m_discovery,
                     &m_sync_client),
@@ -99,6 +108,9 @@
   const config::DiscoverySettings& discovery = m_settings.m_discovery;
   LOG(INFO) << "event=started address=" << ToString(discovery.m_address) << " data_centre=" << discovery.m_data_centre
             << " packets=" << ToString(m_settings.m_packet_endpoint) << " seeds=" << discovery.m_seeds.size();
+  if (m_settings.m_placement != config::Placement::kExpectedTime) {
+    LOG(INFO) << "event=placement name=" << config::PlacementName(m_settings.m_placement);
+  }
   LOG(WARNING) << "event=unsealed_messages meaning=\"messages between hosts carry no key, as the settings say\"";
   std::vector<boost::fibers::fiber> fibers;
   fibers.emplace_back([this] { ServePackets(); });
@@ -161,6 +173,7 @@
     case SteeringAction::kForward:
       ++m_counters.m_forwarded;
       m_counters.m_placed += decision.m_placed ? 1 : 0;
+      if (decision.m_expected_ms) m_latencies.m_expected.Add(ToDuration(*decision.m_expected_ms));
       if (decision.m_opened_after) m_latencies.m_open.Add(*decision.m_opened_after);
       if (decision.m_closed_after) m_latencies.m_flow.Add(*decision.m_closed_after);
       m_outgoing.push_back({decision.m_endpoint, m_codec->Encapsulate(bytes, decision.m_target, decision.m_cookie)});
@@ -266,9 +279,10 @@
   if (!m_log_line_budget.Allow()) return;
   const std::string flow = ToString(packet.m_endpoints.m_client) + "-" + ToString(packet.m_endpoints.m_service);
   if (decision.m_placed) {
+    const std::string expected = decision.m_expected_ms ? " expected_ms=" + std::to_string(*decision.m_expected_ms) : "";
     LOG(INFO) << "event=flow_placed flow=" << flow << " copy=" << packet.m_retransmissions << " target=" << std::hex
               << decision.m_target.m_value << std::dec << " endpoint=" << ToString(decision.m_endpoint)
-              << " flows_at_target=" << decision.m_flows_at_target << " candidates=" << decision.m_candidates
+              << " flows_at_target=" << decision.m_flows_at_target << " candidates=" << decision.m_candidates << expected
               << " state=" << m_steering.State().m_index << " suppressed=" << m_log_line_budget.TakeSuppressed();
     return;
   }
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -46,6 +46,8 @@
   observe::LatencyHistogram m_flow;
   /// Held opening packets: from the client's first transmission until the packet was forwarded or refused.
   observe::LatencyHistogram m_wait;
+  /// For placement by remaining work: the expected time to finish that decided.
+  observe::LatencyHistogram m_expected;
 };
 
 /// The daemon around a `CookieSteering`: receives client packets and forwards them to targets, follows the state that
--- a/src/balancer/steering_balancer_metrics.cc
+++ b/src/balancer/steering_balancer_metrics.cc
@@ -29,6 +29,12 @@
             m_latencies.m_open);
   histogram("fighatch_steering_flow_seconds", "From placing a flow to the client's last packet.", m_latencies.m_flow);
   histogram("fighatch_steering_wait_seconds", "Waiting of opening packets.", m_latencies.m_wait);
+  if (m_settings.m_placement == config::Placement::kRemainingWork) {
+    histogram("fighatch_steering_expected_seconds", "Expected time to finish of a placed request.",
+              m_latencies.m_expected);
+    m_metrics.AddCounter("fighatch_steering_work_samples_total", "Requests whose work was learned.", {},
+                         [this] { return static_cast<double>(m_steering.WorkSamples()); });
+  }
   const io::PlainMessageCounters& messages = m_message_socket->Counters();
   counter("fighatch_steering_messages_sent_total", "Messages sent to other hosts.", messages.m_sent);
   counter("fighatch_steering_message_bytes_sent_total", "Bytes of messages sent.", messages.m_sent_bytes);
--- a/src/config/steering_balancer_settings.h
+++ b/src/config/steering_balancer_settings.h
@@ -2,6 +2,7 @@
 #define FIGHATCH_CONFIG_STEERING_BALANCER_SETTINGS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,17 @@
 
 namespace fighatch::config {
 
+/// How a balancer chooses the target of a new flow.
+enum class Placement : std::uint8_t {
+  /// The lowest expected completion time by counts of flows (`MakeSampledExpectedTimeChoice`).
+  kExpectedTime = 0,
+  /// The lowest expected time to finish by remaining work (`MakeRemainingWorkChoice`).
+  kRemainingWork = 1,
+};
+
+/// The name of a placement in settings and logs.
+[[nodiscard]] std::string_view PlacementName(Placement placement) noexcept;
+
 /// The settings of a balancer that steers packets by cookies.
 struct SteeringBalancerSettings {
   DiscoverySettings m_discovery;
@@ -19,9 +31,11 @@
   Endpoint m_readiness_endpoint;
   /// Time that the service manager leaves between SIGTERM and SIGKILL; the balancer drains its flows within it.
   std::chrono::milliseconds m_stop_grace{6000};
+  Placement m_placement = Placement::kExpectedTime;
 };
 
-/// Parses settings in JSON with comments. Errors: those of `ParseJson` and `ObjectReader`.
+/// Parses settings in JSON with comments. Errors: those of `ParseJson` and `ObjectReader`; `kSettingsOutOfRange` for an
+/// unknown placement.
 [[nodiscard]] Result<SteeringBalancerSettings> ParseSteeringBalancerSettings(std::string_view text);
 
 }  // namespace fighatch::config
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -27,6 +27,9 @@
 constexpr double kFlowCost = 0.15;
 // Weight of flows that other balancers reported: about half of them have ended by the time of the choice.
 constexpr double kReportedFlowWeight = 0.5;
+// Fraction of the mean work, divided by the square root of the number of slots, that each flow at a target adds even if a
+// slot seems free: counts may be outdated and announced slots wrong.
+constexpr double kFlowUncertainty = 0.18;
 // Width of the random part of expected times, as a multiple of the mean work: `kSpread` times the square of the flows
 // that other balancers place for each slot between two reports, up to `kMaxSpread`.
 constexpr double kSpread = 0.05;
@@ -156,13 +159,15 @@
   return std::max(context.m_work->CountedTimeMs(context.m_route), 1.0);
 }
 
-// Flows of other balancers that are expected at the target now. Between two reports flows end and others begin, so the
-// reported number tends towards its average.
-double OtherFlows(const ChoiceContext& context, const SteeringTarget& target) {
-  const double still_valid = std::exp(-Milliseconds(context.m_report_lag) / CountedTimeMs(context));
+// Requests of other balancers that are expected at the target now. Between two reports flows end and others begin, so the
+// reported number tends towards its average; and a flow counts as load while its packets travel, too.
+double OtherRequests(const ChoiceContext& context, const SteeringTarget& target) {
+  const double counted_ms = CountedTimeMs(context);
+  const double still_valid = std::exp(-Milliseconds(context.m_report_lag) / counted_ms);
   const double reported =
       target.m_mean_remote_flows + still_valid * (target.m_remote_flows - target.m_mean_remote_flows);
-  return std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered + context.m_unreported_flows;
+  const double at_work = std::min(1.0, context.m_work->MeanWorkMs(context.m_route) / counted_ms);
+  return at_work * std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered + context.m_unreported_flows;
 }
 
 // Factor by which the target takes longer for a request than the average of its service.
@@ -231,13 +236,13 @@
     queue.Add(remaining_ms, remaining_ms);
   }
   for (std::size_t count = target.m_requests.size(); count < target.m_open_flows; ++count) queue.Add(mean_ms, mean_ms);
-  const double others = OtherFlows(context, target);
+  const double others = OtherRequests(context, target);
   const double start_ms = queue.MeanStartMs(others, residual_ms, mean_ms);
   const double remote_penalty_ms =
       target.m_record.m_data_centre == context.m_data_centre ? 0 : kRemoteDataCentrePenaltyMs;
-  // Counts of flows may be outdated and announced slots wrong, so flows cost a little even if a slot seems free.
-  const double flow_cost = kFlowCost * (target.m_open_flows + others) / SlotsOf(target);
-  return (start_ms + mean_ms * (1 + flow_cost)) * factor + remote_penalty_ms;
+  const double slots = SlotsOf(target);
+  const double uncertainty = kFlowUncertainty * (target.m_open_flows + others) / std::sqrt(slots);
+  return (start_ms + mean_ms * (1 + uncertainty)) * factor + remote_penalty_ms;
 }
 
 double ExpectedTimeMs(const ChoiceContext& context, const SteeringTarget& target) {
--- a/tests/remaining_work_choice_test.cc
+++ b/tests/remaining_work_choice_test.cc
@@ -24,7 +24,7 @@
   LoadPattern m_pattern;
   // True if targets or requests are uneven, so that the results must be better than the baseline's.
   bool m_uneven = false;
-  std::uint64_t m_seeds = 5;
+  std::uint64_t m_seeds = 20;
 };
 
 void PrintTo(const Replay& replay, std::ostream* out) { *out << replay.m_name; }
