--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -279,11 +279,13 @@
   if (!m_log_line_budget.Allow()) return;
   const std::string flow = ToString(packet.m_endpoints.m_client) + "-" + ToString(packet.m_endpoints.m_service);
   if (decision.m_placed) {
-    const std::string expected = decision.m_expected_ms ? " expected_ms=" + std::to_string(*decision.m_expected_ms) : "";
+    const std::string expected =
+        decision.m_expected_ms ? " expected_ms=" + std::to_string(*decision.m_expected_ms) : "";
     LOG(INFO) << "event=flow_placed flow=" << flow << " copy=" << packet.m_retransmissions << " target=" << std::hex
               << decision.m_target.m_value << std::dec << " endpoint=" << ToString(decision.m_endpoint)
-              << " flows_at_target=" << decision.m_flows_at_target << " candidates=" << decision.m_candidates << expected
-              << " state=" << m_steering.State().m_index << " suppressed=" << m_log_line_budget.TakeSuppressed();
+              << " flows_at_target=" << decision.m_flows_at_target << " candidates=" << decision.m_candidates
+              << expected << " state=" << m_steering.State().m_index
+              << " suppressed=" << m_log_line_budget.TakeSuppressed();
     return;
   }
   const bool is_reset = decision.m_action == SteeringAction::kReset;
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 #include "fighatch/hash.h"
@@ -27,9 +28,12 @@
 constexpr double kFlowCost = 0.15;
 // Weight of flows that other balancers reported: about half of them have ended by the time of the choice.
 constexpr double kReportedFlowWeight = 0.5;
-// Fraction of the mean work, divided by the square root of the number of slots, that each flow at a target adds even if a
-// slot seems free: counts may be outdated and announced slots wrong.
+// Fraction of the mean work, divided by the square root of the number of slots, that each flow at a target adds even if
+// a slot seems free: counts may be outdated and announced slots wrong.
 constexpr double kFlowUncertainty = 0.18;
+// Fraction of the mean work by which a balancer prefers some targets to others, so that two balancers seldom choose the
+// same idle target at once.
+constexpr double kPreference = 0.35;
 // Width of the random part of expected times, as a multiple of the mean work: `kSpread` times the square of the flows
 // that other balancers place for each slot between two reports, up to `kMaxSpread`.
 constexpr double kSpread = 0.05;
@@ -159,8 +163,8 @@
   return std::max(context.m_work->CountedTimeMs(context.m_route), 1.0);
 }
 
-// Requests of other balancers that are expected at the target now. Between two reports flows end and others begin, so the
-// reported number tends towards its average; and a flow counts as load while its packets travel, too.
+// Requests of other balancers that are expected at the target now. Between two reports flows end and others begin, so
+// the reported number tends towards its average; and a flow counts as load while its packets travel, too.
 double OtherRequests(const ChoiceContext& context, const SteeringTarget& target) {
   const double counted_ms = CountedTimeMs(context);
   const double still_valid = std::exp(-Milliseconds(context.m_report_lag) / counted_ms);
@@ -201,14 +205,22 @@
   [[nodiscard]] SteeringTarget* Choose(const ChoiceContext& context,
                                        const std::vector<SteeringTarget*>& candidates) override {
     const std::vector<SteeringTarget*> drawn = DrawCandidates(candidates, m_samples, &m_random);
-    const double spread_ms = context.m_work->HasEstimate(context.m_route) ? RandomSpreadMs(context, drawn) : 0;
+    const bool has_estimate = context.m_work->HasEstimate(context.m_route);
+    const double preference_ms = has_estimate ? kPreference * context.m_work->MeanWorkMs(context.m_route) : 0;
+    const double spread_ms = has_estimate ? RandomSpreadMs(context, drawn) : 0;
     return LowestCostTarget(context.m_balancer, drawn, [&](const SteeringTarget& target) {
-      const double expected_ms = RemainingWorkTimeMs(context, target);
-      return spread_ms > 0 ? expected_ms - spread_ms * RandomBonus(context, target) : expected_ms;
+      const double cost_ms = RemainingWorkTimeMs(context, target) + preference_ms * Rank(context, target);
+      return spread_ms > 0 ? cost_ms - spread_ms * RandomBonus(context, target) : cost_ms;
     });
   }
 
  private:
+  // Where the target stands in the balancer's order of preference, from 0 to 1.
+  [[nodiscard]] static double Rank(const ChoiceContext& context, const SteeringTarget& target) {
+    const std::uint64_t hash = MixHash(context.m_balancer.m_value, target.m_record.m_id.m_value);
+    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  }
+
   // With this bonus (Gumbel distribution) alone, targets are chosen in proportion to their capacity.
   [[nodiscard]] double RandomBonus(const ChoiceContext& context, const SteeringTarget& target) {
     const double capacity = SlotsOf(target) / TimeFactor(context, target);
