--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -158,20 +158,35 @@
   double m_total_ms = 0;
 };
 
-// Time for which a request counts as load; at least 1.
-double CountedTimeMs(const ChoiceContext& context) {
-  return std::max(context.m_work->CountedTimeMs(context.m_route), 1.0);
+// What is the same for all candidates of a new flow.
+struct RouteEstimate {
+  double m_mean_ms = 0;
+  double m_residual_ms = 0;
+  // Time for which a request counts as load.
+  double m_counted_ms = 0;
+  // Share of the reported flows that have not ended since.
+  double m_still_valid = 0;
+  // Share of the time that a request counts as load for which it is at the target.
+  double m_at_work = 0;
+};
+
+RouteEstimate MakeRouteEstimate(const ChoiceContext& context) {
+  RouteEstimate route;
+  route.m_mean_ms = context.m_work->MeanWorkMs(context.m_route);
+  route.m_residual_ms = context.m_work->ResidualWorkMs(context.m_route);
+  route.m_counted_ms = std::max(context.m_work->CountedTimeMs(context.m_route), 1.0);
+  route.m_still_valid = std::exp(-Milliseconds(context.m_report_lag) / route.m_counted_ms);
+  route.m_at_work = std::min(1.0, route.m_mean_ms / route.m_counted_ms);
+  return route;
 }
 
 // Requests of other balancers that are expected at the target now. Between two reports flows end and others begin, so
 // the reported number tends towards its average; and a flow counts as load while its packets travel, too.
-double OtherRequests(const ChoiceContext& context, const SteeringTarget& target) {
-  const double counted_ms = CountedTimeMs(context);
-  const double still_valid = std::exp(-Milliseconds(context.m_report_lag) / counted_ms);
+double OtherRequests(const ChoiceContext& context, const RouteEstimate& route, const SteeringTarget& target) {
   const double reported =
-      target.m_mean_remote_flows + still_valid * (target.m_remote_flows - target.m_mean_remote_flows);
-  const double at_work = std::min(1.0, context.m_work->MeanWorkMs(context.m_route) / counted_ms);
-  return at_work * std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered + context.m_unreported_flows;
+      target.m_mean_remote_flows + route.m_still_valid * (target.m_remote_flows - target.m_mean_remote_flows);
+  return route.m_at_work * std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered +
+         context.m_unreported_flows;
 }
 
 // Factor by which the target takes longer for a request than the average of its service.
@@ -183,18 +198,41 @@
   return target.m_cold_until > context.m_now ? learned * kColdFactor : learned;
 }
 
+// Expected time in milliseconds until the target has finished a new request; it takes `factor` times as long as the
+// average of its service.
+double FinishTimeMs(const ChoiceContext& context, const RouteEstimate& route, const SteeringTarget& target,
+                    double factor) {
+  TargetQueue queue(SlotsOf(target));
+  for (const OpenRequest& request : target.m_requests) {
+    const double done_ms = std::max(0.0, Milliseconds(context.m_now - request.m_started)) / factor;
+    const double remaining_ms = context.m_work->RemainingWorkMs(request.m_route, done_ms);
+    queue.Add(remaining_ms, remaining_ms);
+  }
+  for (std::size_t count = target.m_requests.size(); count < target.m_open_flows; ++count) {
+    queue.Add(route.m_mean_ms, route.m_mean_ms);
+  }
+  const double others = OtherRequests(context, route, target);
+  const double start_ms = queue.MeanStartMs(others, route.m_residual_ms, route.m_mean_ms);
+  const double remote_penalty_ms =
+      target.m_record.m_data_centre == context.m_data_centre ? 0 : kRemoteDataCentrePenaltyMs;
+  const double slots = SlotsOf(target);
+  const double uncertainty = kFlowUncertainty * (target.m_open_flows + others) / std::sqrt(slots);
+  return (start_ms + route.m_mean_ms * (1 + uncertainty)) * factor + remote_penalty_ms;
+}
+
 // Width in milliseconds of the random part of expected times. The more flows other balancers place for each slot
 // between two reports, the less reports say about the present, and a strict comparison would send the flows of all
 // balancers to the same few targets.
-double RandomSpreadMs(const ChoiceContext& context, const std::vector<SteeringTarget*>& drawn) {
+double RandomSpreadMs(const ChoiceContext& context, const RouteEstimate& route,
+                      const std::vector<SteeringTarget*>& drawn) {
   double flows = 0;
   double slots = 0;
   for (const SteeringTarget* target : drawn) {
     flows += target->m_mean_remote_flows;
     slots += SlotsOf(*target);
   }
-  const double placed = flows / slots * Milliseconds(context.m_report_lag) / CountedTimeMs(context);
-  return context.m_work->MeanWorkMs(context.m_route) * std::min(kMaxSpread, kSpread * placed * placed);
+  const double placed = flows / slots * Milliseconds(context.m_report_lag) / route.m_counted_ms;
+  return route.m_mean_ms * std::min(kMaxSpread, kSpread * placed * placed);
 }
 
 class RemainingWorkChoice : public ChoiceStrategy {
@@ -205,12 +243,17 @@
   [[nodiscard]] SteeringTarget* Choose(const ChoiceContext& context,
                                        const std::vector<SteeringTarget*>& candidates) override {
     const std::vector<SteeringTarget*> drawn = DrawCandidates(candidates, m_samples, &m_random);
-    const bool has_estimate = context.m_work->HasEstimate(context.m_route);
-    const double preference_ms = has_estimate ? kPreference * context.m_work->MeanWorkMs(context.m_route) : 0;
-    const double spread_ms = has_estimate ? RandomSpreadMs(context, drawn) : 0;
+    if (!context.m_work->HasEstimate(context.m_route)) {
+      return LowestCostTarget(context.m_balancer, drawn,
+                              [&](const SteeringTarget& target) { return ExpectedTimeMs(context, target); });
+    }
+    const RouteEstimate route = MakeRouteEstimate(context);
+    const double spread_ms = RandomSpreadMs(context, route, drawn);
     return LowestCostTarget(context.m_balancer, drawn, [&](const SteeringTarget& target) {
-      const double cost_ms = RemainingWorkTimeMs(context, target) + preference_ms * Rank(context, target);
-      return spread_ms > 0 ? cost_ms - spread_ms * RandomBonus(context, target) : cost_ms;
+      const double factor = TimeFactor(context, target);
+      const double preference_ms = kPreference * route.m_mean_ms * Rank(context, target);
+      return FinishTimeMs(context, route, target, factor) + preference_ms -
+             spread_ms * RandomBonus(SlotsOf(target) / factor);
     });
   }
 
@@ -222,9 +265,8 @@
   }
 
   // With this bonus (Gumbel distribution) alone, targets are chosen in proportion to their capacity.
-  [[nodiscard]] double RandomBonus(const ChoiceContext& context, const SteeringTarget& target) {
-    const double capacity = SlotsOf(target) / TimeFactor(context, target);
-    return std::log(capacity) - std::log(-std::log(std::max(m_random.NextDouble(), kLowestDraw)));
+  [[nodiscard]] double RandomBonus(double capacity) {
+    return std::log(capacity / -std::log(std::max(m_random.NextDouble(), kLowestDraw)));
   }
 
   static constexpr double kLowestDraw = 1e-12;
@@ -236,25 +278,8 @@
 }  // namespace
 
 double RemainingWorkTimeMs(const ChoiceContext& context, const SteeringTarget& target) {
-  const WorkEstimator& work = *context.m_work;
-  if (!work.HasEstimate(context.m_route)) return ExpectedTimeMs(context, target);
-  const double mean_ms = work.MeanWorkMs(context.m_route);
-  const double residual_ms = work.ResidualWorkMs(context.m_route);
-  const double factor = TimeFactor(context, target);
-  TargetQueue queue(SlotsOf(target));
-  for (const OpenRequest& request : target.m_requests) {
-    const double done_ms = std::max(0.0, Milliseconds(context.m_now - request.m_started)) / factor;
-    const double remaining_ms = work.RemainingWorkMs(request.m_route, done_ms);
-    queue.Add(remaining_ms, remaining_ms);
-  }
-  for (std::size_t count = target.m_requests.size(); count < target.m_open_flows; ++count) queue.Add(mean_ms, mean_ms);
-  const double others = OtherRequests(context, target);
-  const double start_ms = queue.MeanStartMs(others, residual_ms, mean_ms);
-  const double remote_penalty_ms =
-      target.m_record.m_data_centre == context.m_data_centre ? 0 : kRemoteDataCentrePenaltyMs;
-  const double slots = SlotsOf(target);
-  const double uncertainty = kFlowUncertainty * (target.m_open_flows + others) / std::sqrt(slots);
-  return (start_ms + mean_ms * (1 + uncertainty)) * factor + remote_penalty_ms;
+  if (!context.m_work->HasEstimate(context.m_route)) return ExpectedTimeMs(context, target);
+  return FinishTimeMs(context, MakeRouteEstimate(context), target, TimeFactor(context, target));
 }
 
 double ExpectedTimeMs(const ChoiceContext& context, const SteeringTarget& target) {
--- a/src/steering/work_estimator.cc
+++ b/src/steering/work_estimator.cc
@@ -44,11 +44,12 @@
   const double time_ms = std::max(sample.m_time_ms, kMinTimeMs);
   route.m_work.Add(now, time_ms * speed->m_speed);
   route.m_has_new_samples = true;
-  AddToMean(&route.m_mean_log, std::log(time_ms), route.m_work.Samples());
+  const double log_time = std::log(time_ms);
+  AddToMean(&route.m_mean_log, log_time, route.m_work.Samples());
   AddToMean(&route.m_counted_ms, sample.m_counted_ms, route.m_work.Samples());
   if (!HasEstimate(sample.m_route)) return;
 
-  const double log_ratio = std::clamp(std::log(time_ms) - route.m_mean_log, -kMaxLogRatio, kMaxLogRatio);
+  const double log_ratio = std::clamp(log_time - route.m_mean_log, -kMaxLogRatio, kMaxLogRatio);
   speed->m_samples = std::min(DecayedSamples(now, *speed) + 1, kMaxSpeedSamples);
   speed->m_updated = now;
   const double deviation = log_ratio - speed->m_mean_log_ratio;
