--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -181,7 +181,9 @@
   // Brings the estimates of work and speed up to date.
   void RefreshWork(TimePoint now);
   void RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed);
-  void RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, SteeringTarget* target);
+  // `work_route` is the index of the flow's route in the work estimator.
+  void RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, std::uint32_t work_route,
+                         SteeringTarget* target);
   void SumReports();
 
   SteeringOptions m_options;
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -160,18 +160,19 @@
   decision.m_placed = true;
   decision.m_candidates = static_cast<std::uint32_t>(candidates.size());
   decision.m_flows_at_target = FlowsAt(*target);
-  RegisterPlacement(now, packet.m_endpoints, target);
+  RegisterPlacement(now, packet.m_endpoints, context.m_route, target);
   return decision;
 }
 
-void CookieSteering::RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, SteeringTarget* target) {
+void CookieSteering::RegisterPlacement(TimePoint now, const FlowEndpoints& endpoints, std::uint32_t work_route,
+                                       SteeringTarget* target) {
   const std::uint32_t load = FlowsAt(*target) + 1;
   PlacedFlow flow;
   flow.m_target = target->m_record.m_id;
   flow.m_placed = now;
   flow.m_last_packet = now;
   flow.m_load_at_placement = load;
-  if (m_work) flow.m_request.m_route = m_work->RouteIndex(endpoints.m_service);
+  flow.m_request.m_route = work_route;
   if (!m_flows.Put(endpoints, flow)) return;
   ++target->m_open_flows;
   ++target->m_opening_flows;
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -134,6 +134,7 @@
       const auto slots = static_cast<double>(m_slots);
       return std::max(0.0, m_total_ms + others * mean_ms - (slots - 1) * residual_ms) / slots;
     }
+    if (others <= kNegligible) return FirstFreeMs();
     double probability = std::exp(-others);
     double left = 1;
     double start_ms = 0;
@@ -252,8 +253,8 @@
     return LowestCostTarget(context.m_balancer, drawn, [&](const SteeringTarget& target) {
       const double factor = TimeFactor(context, target);
       const double preference_ms = kPreference * route.m_mean_ms * Rank(context, target);
-      return FinishTimeMs(context, route, target, factor) + preference_ms -
-             spread_ms * RandomBonus(SlotsOf(target) / factor);
+      const double cost_ms = FinishTimeMs(context, route, target, factor) + preference_ms;
+      return spread_ms > 0 ? cost_ms - spread_ms * RandomBonus(SlotsOf(target) / factor) : cost_ms;
     });
   }
 
