Merge placement by remaining work

Cause: requests that look alike cost targets very different amounts of work, and the choice of a target knew counts of flows. Change: WorkEstimator and MakeRemainingWorkChoice, on where the setting placement is remaining_work; the replays of priorities and of costs share one simulation.

--- a/include/fighatch/forward.h
+++ b/include/fighatch/forward.h
@@ -115,6 +115,7 @@
 struct OfferedLoad;
 struct OfferedRate;
 class OfferedRateMeter;
+struct OpenRequest;
 struct OpenedMessage;
 enum class Outcome : std::uint8_t;
 struct OutgoingMessage;
@@ -209,6 +210,7 @@
 struct TargetRefresh;
 class TargetRegistry;
 struct TargetResponded;
+struct TargetSpeed;
 enum class TargetState : std::uint8_t;
 struct TargetUse;
 struct TargetWithdrawal;
@@ -232,6 +234,9 @@
 struct VoteReply;
 struct VoteRequest;
 struct WireFlowRecord;
+class WorkEstimator;
+class WorkHistogram;
+struct WorkSample;
 
 }  // namespace fighatch
 
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -55,6 +55,8 @@
   observe::LatencyHistogram m_flow;
   /// Held opening packets: from the client's first transmission until the packet was forwarded or refused.
   observe::LatencyHistogram m_wait;
+  /// For placement by remaining work: the expected time to finish that decided.
+  observe::LatencyHistogram m_expected;
 };
 
 /// Scheduling of a balancer's uplink, for hosts whose link has a limit.
--- a/src/config/steering_balancer_settings.h
+++ b/src/config/steering_balancer_settings.h
@@ -2,6 +2,7 @@
 #define FIGHATCH_CONFIG_STEERING_BALANCER_SETTINGS_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,17 @@
 
 namespace fighatch::config {
 
+/// How a balancer chooses the target of a new flow.
+enum class Placement : std::uint8_t {
+  /// The lowest expected completion time by counts of flows (`MakeSampledExpectedTimeChoice`).
+  kExpectedTime = 0,
+  /// The lowest expected time to finish by remaining work (`MakeRemainingWorkChoice`).
+  kRemainingWork = 1,
+};
+
+/// The name of a placement in settings and logs.
+[[nodiscard]] std::string_view PlacementName(Placement placement) noexcept;
+
 /// The settings of a balancer that steers packets by cookies.
 struct SteeringBalancerSettings {
   DiscoverySettings m_discovery;
@@ -23,9 +35,11 @@
   double m_link_mbps = 0;
   /// Divides the room of a service among balancers and priorities while the service is short of room.
   bool m_rate_shares = false;
+  Placement m_placement = Placement::kExpectedTime;
 };
 
-/// Parses settings in JSON with comments. Errors: those of `ParseJson` and `ObjectReader`.
+/// Parses settings in JSON with comments. Errors: those of `ParseJson` and `ObjectReader`; `kSettingsOutOfRange` for an
+/// unknown placement.
 [[nodiscard]] Result<SteeringBalancerSettings> ParseSteeringBalancerSettings(std::string_view text);
 
 }  // namespace fighatch::config
--- a/src/steering/target_load.h
+++ b/src/steering/target_load.h
@@ -50,6 +50,14 @@
   *mean = *mean <= 0 ? sample : *mean + kProcessingSampleWeight * (sample - *mean);
 }
 
+/// Removes a request in progress; equal ones are interchangeable.
+inline void RemoveRequest(const OpenRequest& request, SteeringTarget* target) {
+  const auto found = std::find(target->m_requests.begin(), target->m_requests.end(), request);
+  if (found == target->m_requests.end()) return;
+  *found = target->m_requests.back();
+  target->m_requests.pop_back();
+}
+
 [[nodiscard]] inline double Milliseconds(Duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
 }
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -85,6 +85,7 @@
     SteeringOptions options;
     options.m_self = HostId{host};
     options.m_data_centre = "a";
+    options.m_rate_shares = true;
     return options;
   }
 
--- a/tests/steering_load_pattern.h
+++ b/tests/steering_load_pattern.h
@@ -1,9 +1,11 @@
 #ifndef FIGHATCH_TESTS_STEERING_LOAD_PATTERN_H_
 #define FIGHATCH_TESTS_STEERING_LOAD_PATTERN_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <cstring>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -69,10 +71,34 @@
   /// One client address opens this many times as many flows as each of the 200 others; 0: each flow has its own.
   std::uint32_t m_greedy_factor = 0;
   std::uint64_t m_seed = 1;
+  /// Speeds of the targets, repeated in this order; a target of speed 2 takes half the time.
+  std::vector<double> m_speeds{1};
+  /// This share of the requests takes `m_expensive_factor` times the work.
+  double m_expensive_share = 0;
+  double m_expensive_factor = 7;
+  /// Load reports arrive this much later.
+  milliseconds m_report_delay{0};
+  /// This many targets announce four times their slots.
+  std::uint32_t m_misreporting_targets = 0;
+  /// This many of the last targets start at the burst's start; they are cold for 2 s and take `m_cold_factor` times as
+  /// long meanwhile.
+  std::uint32_t m_cold_targets = 0;
+  double m_cold_factor = 3;
 
   static constexpr milliseconds kColdPeriod{3000};
 };
 
+/// The rate in flows per second that uses the share `load` of the capacity of a pattern's slots.
+inline double RateAtLoad(const LoadPattern& pattern, double load) {
+  double speeds = 0;
+  for (std::uint32_t target = 0; target < pattern.m_targets; ++target) {
+    speeds += pattern.m_speeds[target % pattern.m_speeds.size()];
+  }
+  const double work_ms =
+      pattern.m_mean_processing_ms * (1 + pattern.m_expensive_share * (pattern.m_expensive_factor - 1));
+  return load * 2 * speeds * 1000 / work_ms;
+}
+
 /// What became of one request.
 struct RequestOutcome {
   Duration m_sent{0};
@@ -106,6 +132,16 @@
   }
   [[nodiscard]] double ServedShare() const { return static_cast<double>(m_in_time + m_late) / m_requests; }
   [[nodiscard]] double InTimeShare() const { return static_cast<double>(m_in_time) / m_requests; }
+  /// Times to the answers in milliseconds; requests without an answer have none.
+  std::vector<double> m_answer_ms;
+  /// The 99th percentile of the times to an answer over all requests; those without an answer count as slowest.
+  [[nodiscard]] double P99Ms() const {
+    std::vector<double> times = m_answer_ms;
+    times.resize(std::max<std::size_t>(m_requests, times.size()), std::numeric_limits<double>::infinity());
+    const auto at = times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
+    std::nth_element(times.begin(), at, times.end());
+    return *at;
+  }
 };
 
 inline std::string DataCentreOf(const LoadPattern& pattern, std::uint32_t number) {
--- a/tests/steering_simulation.h
+++ b/tests/steering_simulation.h
@@ -1,8 +1,10 @@
 #ifndef FIGHATCH_TESTS_STEERING_SIMULATION_H_
 #define FIGHATCH_TESTS_STEERING_SIMULATION_H_
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <queue>
@@ -30,6 +32,7 @@
 
   LoadResult Run() {
     ScheduleArrivals();
+    if (m_pattern.m_cold_targets > 0) Schedule(m_start + m_pattern.m_burst_start, [this] { StartColdTargets(); });
     if (m_pattern.m_outage.count() > 0) Schedule(OutageEnd(), [this] { StartBalancers(); });
     ScheduleFaults();
     for (std::uint32_t balancer = 0; balancer < m_pattern.m_balancers; ++balancer) {
@@ -60,6 +63,7 @@
   static constexpr std::uint32_t kOrdinaryClients = 200;
   static constexpr std::size_t kMaxRecipientsAcrossDataCentres = 16;
   static constexpr std::uint32_t kSlots = 2;
+  static constexpr milliseconds kColdPeriod{2000};
   static constexpr std::size_t kQueueCapacity = 8;
 
   struct Event {
@@ -102,12 +106,31 @@
     m_balancers[index] = std::make_unique<CookieSteering>(options, m_make_choice(host.m_value), Random(host.m_value));
     (void)m_balancers[index]->Update(m_now, MakeUpdate({}, PublishedStateOf(m_pattern, 1)));
     for (std::uint32_t number = 0; number < m_pattern.m_targets; ++number) {
-      (void)m_balancers[index]->Merge(m_now, {MakeTarget(number, DataCentreOf(m_pattern, number)), 0});
+      if (number + m_pattern.m_cold_targets >= m_pattern.m_targets) continue;
+      (void)m_balancers[index]->Merge(m_now, {Record(number), 0});
     }
     m_balancers[index]->SetBalancers(HostsOf(m_pattern, false));
+    if (m_pattern.m_report_delay.count() > 0) {
+      m_balancers[index]->SetReportLag(m_pattern.m_report_interval + m_pattern.m_report_delay);
+    }
     m_waiting[index] = {};
   }
 
+  [[nodiscard]] AnnouncedTarget Record(std::uint32_t number) const {
+    AnnouncedTarget record = MakeTarget(number, DataCentreOf(m_pattern, number));
+    if (number < m_pattern.m_misreporting_targets) record.m_slots *= 4;
+    return record;
+  }
+
+  void StartColdTargets() {
+    for (std::uint32_t number = m_pattern.m_targets - m_pattern.m_cold_targets; number < m_pattern.m_targets;
+         ++number) {
+      AnnouncedTarget record = Record(number);
+      record.m_cold_left_ms = static_cast<std::uint32_t>(kColdPeriod.count());
+      for (const auto& balancer : m_balancers) (void)balancer->Merge(m_now, {record, 0});
+    }
+  }
+
   [[nodiscard]] bool IsDown(std::uint32_t number) const {
     return m_pattern.m_data_centre_out && InBurst() && IsInLastDataCentre(m_pattern, number);
   }
@@ -268,7 +291,9 @@
     m_flows[id].m_target = number;
     m_flows[id].m_cookie = decision.m_cookie;
     Schedule(m_now + kOneWayDelay * 2, [this, id] {
-      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, MakeLaterPacket(id, false));
+      CookiePacket request = MakeLaterPacket(id, false);
+      request.m_data_bytes = 1;
+      (void)m_balancers[m_flows[id].m_balancer]->Steer(m_now, request);
       Enqueue(id);
     });
   }
@@ -291,9 +316,7 @@
       const std::uint32_t id = target.m_queue.front();
       target.m_queue.pop();
       ++target.m_running;
-      const bool slow = IsPastBurstStart() && number < m_pattern.m_slow_targets;
-      const double spread = 0.5 + m_random.NextDouble();
-      const double processing_ms = m_pattern.m_mean_processing_ms * spread * (slow ? m_pattern.m_slow_factor : 1);
+      const double processing_ms = m_pattern.m_mean_processing_ms * WorkFactor(id) * TimeFactor(number);
       Schedule(m_now + std::chrono::microseconds(static_cast<std::int64_t>(processing_ms * 1000)), [this, id, number] {
         --m_targets[number].m_running;
         Answer(id);
@@ -302,9 +325,26 @@
     }
   }
 
+  [[nodiscard]] double WorkFactor(std::uint32_t id) {
+    if (m_pattern.m_expensive_share <= 0) return 0.5 + m_random.NextDouble();
+    // The same for all strategies, so that they are compared on the same requests.
+    Random work(MixHash(m_pattern.m_seed, id));
+    const double spread = 0.5 + work.NextDouble();
+    return work.NextDouble() < m_pattern.m_expensive_share ? spread * m_pattern.m_expensive_factor : spread;
+  }
+
+  [[nodiscard]] double TimeFactor(std::uint32_t number) const {
+    double factor = 1 / m_pattern.m_speeds[number % m_pattern.m_speeds.size()];
+    if (IsPastBurstStart() && number < m_pattern.m_slow_targets) factor *= m_pattern.m_slow_factor;
+    const bool is_cold = m_now < m_start + m_pattern.m_burst_start + kColdPeriod &&
+                         number + m_pattern.m_cold_targets >= m_pattern.m_targets;
+    return is_cold ? factor * m_pattern.m_cold_factor : factor;
+  }
+
   void Answer(std::uint32_t id) {
     const Duration took = m_now + kOneWayDelay - m_flows[id].m_requested_at;
     if (took <= kDeadline) m_result.m_outcomes[m_flows[id].m_request].m_took = took;
+    m_result.m_answer_ms.push_back(std::chrono::duration<double, std::milli>(took).count());
     if (took <= m_pattern.m_objective) {
       ++m_result.m_in_time;
       m_result.m_in_time_after_outage += WasSentAfterOutage(m_flows[id]) ? 1 : 0;
@@ -331,13 +371,18 @@
     const ServiceRoom* room = balancer.Shares().Room(kService);
     if (room != nullptr) m_result.m_highest_room = std::max(m_result.m_highest_room, room->m_requests_per_second);
     if (!ReportsArrive()) return;
-    const bool to_all = m_pattern.m_balancers <= kMaxRecipientsAcrossDataCentres;
+    m_demand.Publish(index, balancer.Shares().OfferedRates(m_now, kService));
     const LoadReport report = balancer.MakeReport();
+    if (m_pattern.m_report_delay.count() == 0) return Deliver(index, report);
+    Schedule(m_now + m_pattern.m_report_delay, [this, index, report] { Deliver(index, report); });
+  }
+
+  void Deliver(std::uint32_t index, const LoadReport& report) {
+    const bool to_all = m_pattern.m_balancers <= kMaxRecipientsAcrossDataCentres;
     for (std::uint32_t other = 0; other < m_pattern.m_balancers; ++other) {
       const bool is_recipient = to_all || DataCentreOf(m_pattern, other) == DataCentreOf(m_pattern, index);
       if (is_recipient && other != index && !IsDown(other)) m_balancers[other]->Receive(m_now, report);
     }
-    m_demand.Publish(index, balancer.Shares().OfferedRates(m_now, kService));
   }
 
   void ScheduleRelease(std::uint32_t index) {
