Limit the waiting time of short packets in the uplink's queue

Cause: short packets had no limit on their waiting time, so a load above the link rate delayed every one of them by seconds. Change: Take drops short packets from the front that have waited for longer than kMaxShortWait (150 ms, below the first retransmission), counted as too_late. The part of kShortSpread by which a packet yields does not count. Without the limit the new test fails.

--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -40,8 +40,10 @@
   kQueueFull = 1,
   /// The client sent nothing for `EgressScheduler::kMaxSilence`, or the flow was reset or replaced.
   kFlowSilent = 2,
+  /// A short packet has waited for longer than `EgressScheduler::kMaxShortWait`.
+  kTooLate = 3,
 };
-inline constexpr std::size_t kEgressDropReasons = 3;
+inline constexpr std::size_t kEgressDropReasons = 4;
 
 /// The name of the reason in metrics, for example "queue_full".
 [[nodiscard]] std::string_view EgressDropReasonName(EgressDropReason reason) noexcept;
@@ -89,6 +91,9 @@
   /// A short packet yields to others that arrive up to this much later, in proportion to what its flow has sent of
   /// `kShortBytes`: the first packets of many large flows do not delay flows of one packet.
   static constexpr Duration kShortSpread = std::chrono::milliseconds(500);
+  /// A short packet that waits for longer is dropped, counted from when it was queued plus its part of `kShortSpread`.
+  /// Clients retransmit after 200 ms: later packets would leave the link less for those that can be in time.
+  static constexpr Duration kMaxShortWait = std::chrono::milliseconds(150);
   /// What bulk data gets of the link at least while short packets fill it, and late flows of the bulk data at least
   /// while others can still finish in time.
   static constexpr double kGuaranteedShare = 0.1;
@@ -248,6 +253,8 @@
   [[nodiscard]] bool HasBulkQueued() const { return !m_on_time.empty() || !m_late.empty(); }
   [[nodiscard]] bool IsBulkDue() const;
   void DropShortOfRemovedFlows(TimePoint now);
+  // Drops the short packets that have waited for longer than `kMaxShortWait`.
+  void DropLateShort(TimePoint now);
   void DropExcess(TimePoint now);
   void CountDrop(EgressDropReason reason, std::size_t bytes);
   void CountSent(TimePoint now, std::size_t bytes);
--- a/src/steering/egress_scheduler.cc
+++ b/src/steering/egress_scheduler.cc
@@ -17,7 +17,8 @@
 constexpr Duration kUtilisationWindow = std::chrono::seconds(1);
 
 constexpr std::array<std::string_view, 2> kClassNames{"short", "bulk"};
-constexpr std::array<std::string_view, kEgressDropReasons> kDropReasonNames{"duplicate", "queue_full", "flow_silent"};
+constexpr std::array<std::string_view, kEgressDropReasons> kDropReasonNames{"duplicate", "queue_full", "flow_silent",
+                                                                              "too_late"};
 
 double Seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -86,6 +87,7 @@
 
 std::optional<EgressDatagram> EgressScheduler::Take(TimePoint now) {
   RemoveSilentFlows(now);
+  DropLateShort(now);
   DropShortOfRemovedFlows(now);
   if (IsEmpty() || m_link_free_at - kMaxBurst > now) return std::nullopt;
   MoveLateFlows(now);
@@ -141,6 +143,12 @@
   }
 }
 
+void EgressScheduler::DropLateShort(TimePoint now) {
+  while (!m_short.empty() && now - m_short.begin()->first > kMaxShortWait) {
+    CountDrop(EgressDropReason::kTooLate, RemoveShort(now, m_short.begin()).m_datagram.m_bytes.size());
+  }
+}
+
 void EgressScheduler::DropExcess(TimePoint now) {
   while (m_queued_packets > kMaxQueuedPackets || m_queued_bytes > kMaxQueuedBytes) {
     Flow* last = LastBulkFlow();
--- a/tests/egress_scheduler_test.cc
+++ b/tests/egress_scheduler_test.cc
@@ -119,6 +119,25 @@
   EXPECT_LE(share, 0.2);
 }
 
+// Guards against short packets that all arrive late once they exceed the link: those that are sent waited briefly.
+TEST_F(EgressSchedulerTest, ShortPacketsWaitForALimitedTime) {
+  constexpr double kLoad = 1.3;
+  const auto gap = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>((kDatagramBytes + 28) / (kLoad * UplinkReplay::kLinkBytesPerSecond)));
+  std::uint32_t client = 0;
+  std::uint32_t in_time = 0;
+  TimePoint arrival = m_now;
+  for (const TimePoint end = m_now + std::chrono::seconds(3); m_now < end; m_now += EgressScheduler::kPacingInterval) {
+    for (; arrival <= m_now; arrival += gap) in_time += Data(++client, 1) ? 1U : 0U;
+    while (const auto next = m_scheduler.Take(m_now)) {
+      EXPECT_LE(m_now - next->m_queued_at, milliseconds(150));
+      ++in_time;
+    }
+  }
+  EXPECT_GT(Dropped(EgressDropReason::kTooLate), 0U);
+  EXPECT_GE(in_time / static_cast<double>(client), 0.95 * EgressScheduler::kPacedShareOfLink / kLoad);
+}
+
 // Guards against late flows that stop while others can still finish in time, and against an order other than by age.
 TEST_F(EgressSchedulerTest, LateFlowsProgressWhileOthersAreServed) {
   QueueBulk(1, 200);
@@ -241,7 +260,7 @@
   const auto accounted = [&] {
     const EgressCounters& counters = m_scheduler.Counters();
     const std::uint64_t dropped = Dropped(EgressDropReason::kDuplicate) + Dropped(EgressDropReason::kQueueFull) +
-                                  Dropped(EgressDropReason::kFlowSilent);
+                                  Dropped(EgressDropReason::kFlowSilent) + Dropped(EgressDropReason::kTooLate);
     return counters.m_sent + dropped + m_scheduler.QueuedPackets();
   };
   for (int step = 0; step < 2000; ++step) {
