Keep the shares of the uplink under opening packets, acknowledgements and resets

Cause: the full queue evicted bulk data first; packets without data blocked the bulk data of their flow, and its credit was reset meanwhile; charged bytes closed the link without a bound; the first data of a request was classified by the bytes of the request before; a retransmitted opening packet was steered while its first transmission still waited. Change: short packets are evicted while they use more than nine tenths of the queue; only data and closing packets block bulk data; the delay by charged bytes ends after 150 ms; a request begins before its first packet is classified; DropDuplicateOpening is asked before a packet is steered.

--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -34,7 +34,7 @@
 
 /// Why a packet was dropped instead of sent.
 enum class EgressDropReason : std::uint8_t {
-  /// The same data is still in the queue.
+  /// The same data, or an opening packet of the same flow, is still in the queue.
   kDuplicate = 0,
   /// The queue has reached its limit.
   kQueueFull = 1,
@@ -97,6 +97,8 @@
   /// What bulk data gets of the link at least while short packets fill it, and late flows of the bulk data at least
   /// while others can still finish in time.
   static constexpr double kGuaranteedShare = 0.1;
+  /// Datagrams that do not wait, such as resets, delay the others by at most this much.
+  static constexpr Duration kMaxChargedDelay = std::chrono::milliseconds(150);
   /// A flow that is silent for this long gives up its queue. Clients retransmit after 1,600 ms at the latest.
   static constexpr Duration kMaxSilence = std::chrono::seconds(2);
   static constexpr std::size_t kMaxQueuedPackets = 4096;
@@ -122,6 +124,10 @@
   [[nodiscard]] bool Offer(TimePoint now, const CookiePacket& packet, Duration objective, const Endpoint& destination,
                            std::span<const std::byte> bytes);
 
+  /// True if a retransmitted opening packet of `bytes` bytes is to be dropped, because an earlier one of the same flow
+  /// has not left the queue; counts it. Ask before a target is chosen: the flow's target has not received anything yet.
+  [[nodiscard]] bool DropDuplicateOpening(TimePoint now, const CookiePacket& packet, std::size_t bytes);
+
   /// Accounts for a datagram that is sent without waiting, such as a reset or a message to another host.
   void Charge(TimePoint now, std::size_t bytes);
 
@@ -172,6 +178,9 @@
     std::uint64_t m_flow_id = 0;
     std::uint32_t m_sequence = 0;
     std::uint32_t m_data_bytes = 0;
+    bool m_opening = false;
+    // Data and closing packets do not overtake each other.
+    bool m_keeps_order = false;
   };
 
   // Flows in order of a time; the id makes the order of equal times definite.
@@ -194,9 +203,11 @@
     // This flow's part of `Service::m_open`.
     std::uint64_t m_remaining_bytes = 0;
     std::optional<std::uint32_t> m_highest_sequence;
-    // Short packets in the queue, and the position that the last of them has there.
+    // Short packets in the queue, those of them that keep their order, and the position that the last of these has.
     std::size_t m_short_packets = 0;
+    std::size_t m_ordered_short_packets = 0;
     TimePoint m_short_position;
+    std::size_t m_queued_openings = 0;
     std::list<QueuedPacket> m_bulk;
     std::unordered_set<std::uint32_t> m_queued_sequences;
     // The map of flows that the flow is in, if any, and its key in `m_finish_limits`. While bytes leave, the limit may
@@ -226,8 +237,11 @@
   [[nodiscard]] Flow* Find(const FlowEndpoints& endpoints);
   [[nodiscard]] Service* FindOrAddService(const Endpoint& address);
   void BeginRequest(TimePoint started, Flow* flow);
+  [[nodiscard]] static bool HasNewData(const CookiePacket& packet, const Flow& flow);
+  // Begins a new request if the packet carries the first data after an answer.
+  void BeginRequestIfAnswered(TimePoint now, const CookiePacket& packet, Flow* flow);
   // Counts the packet in its flow, and the size of the flow on its closing packet.
-  void Record(TimePoint now, const CookiePacket& packet, Flow* flow);
+  void Record(const CookiePacket& packet, Flow* flow);
   void AddSample(const Flow& flow);
   void RemoveFlow(TimePoint now, Flow* flow);
   // Accounts for a packet that has left the queue; removes the flow if it is closed and nothing is left of it.
@@ -249,12 +263,14 @@
   void Enqueue(TimePoint now, Flow* flow, QueuedPacket packet, std::uint64_t bytes_before);
   [[nodiscard]] QueuedPacket RemoveShort(TimePoint now, std::multimap<TimePoint, QueuedPacket>::iterator place);
   [[nodiscard]] EgressDatagram TakeBulk(TimePoint now, Flow* flow);
-  // True if a flow with bulk data may be served; a flow whose short packets wait does not count.
+  // True if a flow with bulk data may be served; a flow whose short data waits does not count.
   [[nodiscard]] bool HasBulkQueued() const { return !m_on_time.empty() || !m_late.empty(); }
   [[nodiscard]] bool IsBulkDue() const;
   void DropShortOfRemovedFlows(TimePoint now);
   // Drops the short packets that have waited for longer than `kMaxShortWait`.
   void DropLateShort(TimePoint now);
+  // True if short packets use more of the queue than bulk data leaves to them.
+  [[nodiscard]] bool ShortExceedsItsPart() const;
   void DropExcess(TimePoint now);
   void CountDrop(EgressDropReason reason, std::size_t bytes);
   void CountSent(TimePoint now, std::size_t bytes);
@@ -273,10 +289,11 @@
   std::unordered_map<FlowEndpoints, std::list<Flow>::iterator> m_flows_by_endpoints;
   std::uint64_t m_last_flow_id = 0;
   std::multimap<TimePoint, QueuedPacket> m_short;
+  std::size_t m_short_bytes = 0;
   // Flows with bulk data to send, by start: those that can finish in time, and the others.
   FlowOrder m_on_time;
   FlowOrder m_late;
-  // Flows whose bulk data waits for short packets of the same flow, which it must not overtake.
+  // Flows whose bulk data waits for short data of the same flow, which it must not overtake.
   FlowOrder m_blocked;
   // The flows of `m_on_time` with an objective, by the last moment at which they can begin to send the rest.
   FlowOrder m_finish_limits;
--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -151,6 +151,8 @@
     if (m_log_line_budget.Allow()) LOG(WARNING) << "event=packet_refused " << ToString(ErrorOf(packet));
     return;
   }
+  // Before steering, which would take the missing answer for a fault of the target.
+  if (m_egress && m_egress->m_scheduler.DropDuplicateOpening(now, ValueOf(packet), datagram.m_bytes.size())) return;
   if (const std::optional<SteeringDecision> refusal = RefuseBulkFlow(ValueOf(packet))) {
     ApplyDecision(now, ValueOf(packet), datagram.m_bytes, *refusal);
     return;
--- a/src/steering/egress_scheduler.cc
+++ b/src/steering/egress_scheduler.cc
@@ -18,7 +18,7 @@
 
 constexpr std::array<std::string_view, 2> kClassNames{"short", "bulk"};
 constexpr std::array<std::string_view, kEgressDropReasons> kDropReasonNames{"duplicate", "queue_full", "flow_silent",
-                                                                              "too_late"};
+                                                                            "too_late"};
 
 double Seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -54,15 +54,17 @@
 bool EgressScheduler::Offer(TimePoint now, const CookiePacket& packet, Duration objective, const Endpoint& destination,
                             std::span<const std::byte> bytes) {
   RemoveSilentFlows(now);
+  if (DropDuplicateOpening(now, packet, bytes.size())) return false;
   Flow* flow = Track(now, packet, objective);
   const bool has_data = packet.m_data_bytes > 0;
   if (flow != nullptr && has_data && flow->m_queued_sequences.contains(packet.m_sequence)) {
     CountDrop(EgressDropReason::kDuplicate, bytes.size());
     return false;
   }
+  if (flow != nullptr) BeginRequestIfAnswered(now, packet, flow);
   const EgressClass egress_class = ClassOf(flow, packet);
   const std::uint64_t bytes_before = flow != nullptr && has_data ? flow->m_seen_bytes : 0;
-  if (flow != nullptr) Record(now, packet, flow);
+  if (flow != nullptr) Record(packet, flow);
   if (MaySendNow(now, egress_class)) {
     if (egress_class == EgressClass::kShort) EarnBulkCredit(bytes.size());
     CountSent(now, bytes.size());
@@ -75,6 +77,8 @@
   queued.m_flow_id = flow != nullptr ? flow->m_id : 0;
   queued.m_sequence = packet.m_sequence;
   queued.m_data_bytes = packet.m_data_bytes;
+  queued.m_opening = packet.m_opening;
+  queued.m_keeps_order = has_data || packet.m_closing;
   Enqueue(now, flow, std::move(queued), bytes_before);
   DropExcess(now);
   return false;
@@ -82,7 +86,18 @@
 
 void EgressScheduler::Charge(TimePoint now, std::size_t bytes) {
   EarnBulkCredit(bytes);
+  const TimePoint latest = std::max(m_link_free_at, now + kMaxChargedDelay);
   UseLink(now, bytes);
+  m_link_free_at = std::min(m_link_free_at, latest);
+}
+
+bool EgressScheduler::DropDuplicateOpening(TimePoint now, const CookiePacket& packet, std::size_t bytes) {
+  if (!packet.m_opening || packet.m_retransmissions == 0) return false;
+  DropLateShort(now);
+  const Flow* flow = Find(packet.m_endpoints);
+  if (flow == nullptr || flow->m_queued_openings == 0) return false;
+  CountDrop(EgressDropReason::kDuplicate, bytes);
+  return true;
 }
 
 std::optional<EgressDatagram> EgressScheduler::Take(TimePoint now) {
@@ -124,10 +139,12 @@
                                                            std::multimap<TimePoint, QueuedPacket>::iterator place) {
   QueuedPacket packet = std::move(place->second);
   m_short.erase(place);
+  m_short_bytes -= packet.m_datagram.m_bytes.size();
   ChangeQueued(now, -1, -static_cast<std::ptrdiff_t>(packet.m_datagram.m_bytes.size()));
   Flow* flow = packet.m_flow_id == 0 ? nullptr : Find(packet.m_endpoints);
   if (flow != nullptr && flow->m_id == packet.m_flow_id) {
     --flow->m_short_packets;
+    flow->m_ordered_short_packets -= packet.m_keeps_order ? 1 : 0;
     AfterDequeue(now, packet, flow);
   }
   return packet;
@@ -149,14 +166,20 @@
   }
 }
 
+bool EgressScheduler::ShortExceedsItsPart() const {
+  constexpr double kShortPart = 1 - kGuaranteedShare;
+  return static_cast<double>(m_short.size()) > kShortPart * kMaxQueuedPackets ||
+         static_cast<double>(m_short_bytes) > kShortPart * kMaxQueuedBytes;
+}
+
 void EgressScheduler::DropExcess(TimePoint now) {
   while (m_queued_packets > kMaxQueuedPackets || m_queued_bytes > kMaxQueuedBytes) {
-    Flow* last = LastBulkFlow();
-    if (last == nullptr) {
-      if (m_short.empty()) return;
+    if (ShortExceedsItsPart()) {
       CountDrop(EgressDropReason::kQueueFull, RemoveShort(now, std::prev(m_short.end())).m_datagram.m_bytes.size());
       continue;
     }
+    Flow* last = LastBulkFlow();
+    if (last == nullptr) return;
     const QueuedPacket packet = std::move(last->m_bulk.back());
     last->m_bulk.pop_back();
     ChangeQueued(now, -1, -static_cast<std::ptrdiff_t>(packet.m_datagram.m_bytes.size()));
@@ -186,6 +209,7 @@
   if (flow != nullptr) {
     flow->m_queued_bytes += packet.m_data_bytes;
     if (packet.m_data_bytes > 0) flow->m_queued_sequences.insert(packet.m_sequence);
+    flow->m_queued_openings += packet.m_opening ? 1 : 0;
   }
   if (packet.m_datagram.m_class == EgressClass::kBulk) {
     flow->m_bulk.push_back(std::move(packet));
@@ -193,11 +217,14 @@
     const double spread = static_cast<double>(bytes_before) / kShortBytes;
     TimePoint position = now + std::chrono::duration_cast<Duration>(kShortSpread * std::min(1.0, spread));
     if (flow != nullptr) {
-      const bool keeps_order = packet.m_data_bytes > 0 || flow->m_closed;
-      if (keeps_order && flow->m_short_packets > 0) position = std::max(position, flow->m_short_position);
-      if (keeps_order) flow->m_short_position = position;
+      if (packet.m_keeps_order) {
+        if (flow->m_ordered_short_packets > 0) position = std::max(position, flow->m_short_position);
+        flow->m_short_position = position;
+        ++flow->m_ordered_short_packets;
+      }
       ++flow->m_short_packets;
     }
+    m_short_bytes += packet.m_datagram.m_bytes.size();
     m_short.emplace(position, std::move(packet));
   }
   if (flow == nullptr) return;
@@ -210,7 +237,7 @@
 void EgressScheduler::EarnBulkCredit(std::size_t bytes) {
   if (HasBulkQueued()) {
     m_bulk_credit.Earn(bytes);
-  } else {
+  } else if (m_blocked.empty()) {
     m_bulk_credit = {};
   }
 }
--- a/src/steering/egress_scheduler_flows.cc
+++ b/src/steering/egress_scheduler_flows.cc
@@ -62,20 +62,25 @@
   flow->m_started = started;
   flow->m_seen_bytes = 0;
   flow->m_answered = false;
+  flow->m_short_position = {};
   if (flow->m_service != nullptr) flow->m_expected_bytes = static_cast<std::uint64_t>(flow->m_service->m_mean_bytes);
   UpdateRemaining(flow);
 }
 
-void EgressScheduler::Record(TimePoint now, const CookiePacket& packet, Flow* flow) {
-  const bool is_new_data =
-      packet.m_data_bytes > 0 && (!flow->m_highest_sequence || IsAfter(packet.m_sequence, *flow->m_highest_sequence));
-  if (is_new_data) {
-    // With bulk data or a closing packet in the queue the flow has a place in the order, which depends on its start.
-    const bool is_queued = flow->m_queued_bytes > 0 || !flow->m_bulk.empty();
-    if (flow->m_answered && !is_queued) {
-      AddSample(*flow);
-      BeginRequest(now, flow);
-    }
+bool EgressScheduler::HasNewData(const CookiePacket& packet, const Flow& flow) {
+  return packet.m_data_bytes > 0 && (!flow.m_highest_sequence || IsAfter(packet.m_sequence, *flow.m_highest_sequence));
+}
+
+void EgressScheduler::BeginRequestIfAnswered(TimePoint now, const CookiePacket& packet, Flow* flow) {
+  // With bulk data or a closing packet in the queue the flow has a place in the order, which depends on its start.
+  const bool is_queued = flow->m_queued_bytes > 0 || !flow->m_bulk.empty();
+  if (!flow->m_answered || is_queued || !HasNewData(packet, *flow)) return;
+  AddSample(*flow);
+  BeginRequest(now, flow);
+}
+
+void EgressScheduler::Record(const CookiePacket& packet, Flow* flow) {
+  if (HasNewData(packet, *flow)) {
     flow->m_highest_sequence = packet.m_sequence;
     flow->m_seen_bytes += packet.m_data_bytes;
   } else if (packet.m_data_bytes == 0 && flow->m_seen_bytes > 0) {
@@ -125,8 +130,8 @@
   std::optional<TimePoint> limit;
   if (flow->m_bulk.empty()) {
     order = nullptr;
-  } else if (flow->m_short_packets > 0) {
-    // Its bulk data must not overtake the short packets.
+  } else if (flow->m_ordered_short_packets > 0) {
+    // Its bulk data must not overtake the short data.
     order = &m_blocked;
   } else if (flow->m_service != nullptr && flow->m_service->m_objective > Duration(0)) {
     const Duration transmission = LinkTime(static_cast<double>(flow->m_remaining_bytes));
@@ -176,6 +181,7 @@
 void EgressScheduler::AfterDequeue(TimePoint now, const QueuedPacket& packet, Flow* flow) {
   flow->m_queued_bytes -= packet.m_data_bytes;
   if (packet.m_data_bytes > 0) flow->m_queued_sequences.erase(packet.m_sequence);
+  flow->m_queued_openings -= packet.m_opening ? 1 : 0;
   UpdateRemaining(flow);
   UpdateOrder(now, flow);
   RemoveIfFinished(now, flow);
--- a/tests/egress_scheduler_test.cc
+++ b/tests/egress_scheduler_test.cc
@@ -138,6 +138,36 @@
   EXPECT_GE(in_time / static_cast<double>(client), 0.95 * EgressScheduler::kPacedShareOfLink / kLoad);
 }
 
+// Guards against bulk data that is evicted when opening packets fill the queue; it gets at least a tenth of the link.
+TEST_F(EgressSchedulerTest, BulkDataKeepsItsShareUnderOpeningPackets) {
+  QueueBulk(1, 400);
+  SendShort();
+  std::uint32_t client = 10;
+  const double share = ShareSent(
+      std::chrono::seconds(5), [](const EgressDatagram& sent) { return sent.m_class == EgressClass::kBulk; },
+      [&] {
+        (void)Offer(LaterPacket(1, 1));
+        for (int count = 0; count < 200; ++count) Open(++client);
+      });
+  EXPECT_GT(Dropped(EgressDropReason::kQueueFull), 0U);
+  EXPECT_GE(share, 0.1);
+}
+
+// Guards against an upload that loses its share of the link by the acknowledgements that it sends.
+TEST_F(EgressSchedulerTest, AcknowledgementsDoNotHoldBackBulkData) {
+  QueueBulk(1, 400);
+  SendShort();
+  std::uint32_t client = 10;
+  const double share = ShareSent(
+      std::chrono::seconds(1), [](const EgressDatagram& sent) { return sent.m_class == EgressClass::kBulk; },
+      [&] {
+        (void)Offer(LaterPacket(1, 1));
+        for (int count = 0; count < 3; ++count) (void)Data(++client, 1);
+      });
+  EXPECT_GE(share, 0.1);
+  EXPECT_LE(share, 0.2);
+}
+
 // Guards against late flows that stop while others can still finish in time, and against an order other than by age.
 TEST_F(EgressSchedulerTest, LateFlowsProgressWhileOthersAreServed) {
   QueueBulk(1, 200);
@@ -179,6 +209,32 @@
   EXPECT_LT(m_scheduler.DemandOf(testing_support::kPublicAddress).m_mean_bytes, BulkAdmission::kMinBulkBytes);
 }
 
+// Guards against the first data of a request that counts as bulk because of the bytes of the request before it.
+TEST_F(EgressSchedulerTest, FirstDataAfterALargeRequestIsShort) {
+  QueueBulk(1, 10);
+  for (; !m_scheduler.IsEmpty(); m_now += milliseconds(1)) (void)m_scheduler.Take(m_now);
+  m_now += milliseconds(100);
+  EXPECT_TRUE(Offer(LaterPacket(1, 1)));
+  m_scheduler.Charge(m_now, 10000);
+  EXPECT_FALSE(Data(1, 17));
+  m_now += milliseconds(100);
+  const auto next = m_scheduler.Take(m_now);
+  ASSERT_TRUE(next.has_value());
+  EXPECT_EQ(next->m_class, EgressClass::kShort);
+}
+
+// Guards against a second target for a flow whose first opening packet has not left this host yet.
+TEST_F(EgressSchedulerTest, DropsOpeningPacketsWhileOneIsQueued) {
+  m_scheduler.Charge(m_now, 40000);
+  Open(1);
+  EXPECT_FALSE(Offer(OpeningPacket(1, 1)));
+  EXPECT_EQ(Dropped(EgressDropReason::kDuplicate), 1U);
+  EXPECT_EQ(m_scheduler.QueuedPackets(), 1U);
+  m_now += milliseconds(130);
+  EXPECT_TRUE(m_scheduler.Take(m_now).has_value());
+  EXPECT_TRUE(Offer(OpeningPacket(1, 1)));
+}
+
 // Guards against a place in the order that is lost when data follows a closing packet that still waits.
 TEST_F(EgressSchedulerTest, DataAfterAWaitingClosingPacketIsSent) {
   QueueBulk(1, 3);
@@ -237,6 +293,16 @@
   EXPECT_TRUE(m_scheduler.Take(m_now).has_value());
 }
 
+// Guards against a burst of resets after which nothing is sent for seconds.
+TEST_F(EgressSchedulerTest, ChargedBytesDelayPacketsForALimitedTime) {
+  for (const TimePoint end = m_now + std::chrono::seconds(5); m_now < end; m_now += milliseconds(1)) {
+    m_scheduler.Charge(m_now, static_cast<std::size_t>(2 * UplinkReplay::kLinkBytesPerSecond / 1000));
+  }
+  Open(1);
+  m_now += milliseconds(150);
+  EXPECT_TRUE(m_scheduler.Take(m_now).has_value());
+}
+
 // Guards against log lines for each short queue, and against none for a link that stays full.
 TEST_F(EgressSchedulerTest, SaturationFollowsLongQueues) {
   QueueBulk(1, 1000);
