Expect bytes only of active flows that opened at this host

Cause: a data packet of an unknown flow added a flow with the average size as expected bytes, and expected bytes of silent flows counted for 2 s, so that a host refused bulk flows without a cause. A retransmission that also closes the flow was dropped as a duplicate, flows beyond kMaxFlows were not scheduled, and rates of less than 0.01 Mbit/s were accepted. Change: flows without a seen opening packet, and flows that are silent for 500 ms, count with what is queued; closing packets are no duplicates; a new flow replaces the least recently active one; link_mbps is 0 or at least 0.01.

--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -101,9 +101,12 @@
   static constexpr Duration kMaxChargedDelay = std::chrono::milliseconds(150);
   /// A flow that is silent for this long gives up its queue. Clients retransmit after 1,600 ms at the latest.
   static constexpr Duration kMaxSilence = std::chrono::seconds(2);
+  /// A flow that is silent for this long is not expected to send more than what is queued, until its next packet.
+  static constexpr Duration kMaxExpectation = std::chrono::milliseconds(500);
   static constexpr std::size_t kMaxQueuedPackets = 4096;
   static constexpr std::size_t kMaxQueuedBytes = std::size_t{2} << 20;
-  /// Beyond this, packets of further flows count as short, and sizes of further services are not learned.
+  /// Beyond `kMaxFlows` a new flow replaces the least recently active one if that one has nothing queued; otherwise its
+  /// packets count as short. Beyond `kMaxServices` sizes of further services are not learned.
   static constexpr std::size_t kMaxFlows = 16384;
   static constexpr std::size_t kMaxServices = 1024;
   /// The link counts as saturated after datagrams have waited without a break for this long.
@@ -137,7 +140,8 @@
   /// Drops what is known and queued of a flow that was reset.
   void Forget(TimePoint now, const FlowEndpoints& endpoints);
 
-  /// Drops flows that have been silent for `kMaxSilence`; `Offer` and `Take` do so too.
+  /// Drops flows that have been silent for `kMaxSilence`, and gives up what is expected of those that have been silent
+  /// for `kMaxExpectation`; `Offer` and `Take` do so too.
   void RemoveSilentFlows(TimePoint now);
 
   [[nodiscard]] BulkDemand DemandOf(const Endpoint& service) const;
@@ -214,6 +218,8 @@
     // become later than the key; it is computed anew when the time of the key has come.
     FlowOrder* m_order = nullptr;
     std::optional<TimePoint> m_finish_limit;
+    // In `m_silent_flows`.
+    bool m_silent = false;
     bool m_seen_opening = false;
     // The client has sent a packet without data since its last data: it has an answer.
     bool m_answered = false;
@@ -233,6 +239,8 @@
 
   // Finds or adds the flow of a packet; null if the packet needs none, or if there are too many flows.
   [[nodiscard]] Flow* Track(TimePoint now, const CookiePacket& packet, Duration objective);
+  // Moves the flow to the end of one of the lists.
+  void SetSilent(TimePoint now, bool silent, std::list<Flow>::iterator flow);
   [[nodiscard]] Flow* AddFlow(TimePoint now, const CookiePacket& packet);
   [[nodiscard]] Flow* Find(const FlowEndpoints& endpoints);
   [[nodiscard]] Service* FindOrAddService(const Endpoint& address);
@@ -273,7 +281,13 @@
   [[nodiscard]] bool ShortExceedsItsPart() const;
   void DropExcess(TimePoint now);
   void CountDrop(EgressDropReason reason, std::size_t bytes);
+  // Removes a short packet from the queue and counts it as dropped.
+  void DropShort(TimePoint now, std::multimap<TimePoint, QueuedPacket>::iterator place, EgressDropReason reason);
+  // Accounts for a packet of bulk data that was removed from its flow to be dropped.
+  void CountBulkDrop(TimePoint now, const QueuedPacket& packet, EgressDropReason reason);
   void CountSent(TimePoint now, std::size_t bytes);
+  // `CountSent` for a datagram that has waited.
+  void CountPaced(TimePoint now, std::size_t bytes);
   void ChangeQueued(TimePoint now, std::ptrdiff_t packets, std::ptrdiff_t bytes);
   void UseLink(TimePoint now, std::size_t bytes);
   void EarnBulkCredit(std::size_t bytes);
@@ -284,8 +298,10 @@
   // When the link has sent all that it was given.
   TimePoint m_link_free_at;
   std::map<Endpoint, Service> m_services;
-  // Sorted by last packet, the most recent one last.
+  // Sorted by last packet, the most recent one last. Flows without a packet for `kMaxExpectation` are in
+  // `m_silent_flows`.
   std::list<Flow> m_flows;
+  std::list<Flow> m_silent_flows;
   std::unordered_map<FlowEndpoints, std::list<Flow>::iterator> m_flows_by_endpoints;
   std::uint64_t m_last_flow_id = 0;
   std::multimap<TimePoint, QueuedPacket> m_short;
--- a/src/config/steering_balancer_settings.cc
+++ b/src/config/steering_balancer_settings.cc
@@ -8,6 +8,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kMaxDuration{600000};
+// A full packet takes a second at this rate.
+constexpr double kMinLinkMbps = 0.01;
 constexpr double kMaxLinkMbps = 1000000;
 
 }  // namespace
@@ -22,6 +24,9 @@
   reader.EndpointField("readiness", &settings.m_readiness_endpoint);
   reader.OptionalMilliseconds("stop_grace_ms", milliseconds(100), kMaxDuration, &settings.m_stop_grace);
   reader.OptionalNumber("link_mbps", 0, kMaxLinkMbps, &settings.m_link_mbps);
+  if (settings.m_link_mbps > 0 && settings.m_link_mbps < kMinLinkMbps) {
+    reader.Fail(ErrorCode::kSettingsOutOfRange, "link_mbps", "between 0 and 0.01");
+  }
   const Status status = reader.Finish();
   if (!IsOk(status)) return ErrorOf(status);
   return settings;
--- a/src/config/steering_balancer_settings.h
+++ b/src/config/steering_balancer_settings.h
@@ -19,7 +19,8 @@
   Endpoint m_readiness_endpoint;
   /// Time that the service manager leaves between SIGTERM and SIGKILL; the balancer drains its flows within it.
   std::chrono::milliseconds m_stop_grace{6000};
-  /// Rate of this host's uplink in megabits per second, to which packets to targets are paced; 0 if it has no limit.
+  /// Rate of this host's uplink in megabits per second, to which packets to targets are paced; 0 if it has no limit,
+  /// otherwise at least 0.01.
   double m_link_mbps = 0;
 };
 
--- a/src/steering/egress_scheduler.cc
+++ b/src/steering/egress_scheduler.cc
@@ -57,7 +57,7 @@
   if (DropDuplicateOpening(now, packet, bytes.size())) return false;
   Flow* flow = Track(now, packet, objective);
   const bool has_data = packet.m_data_bytes > 0;
-  if (flow != nullptr && has_data && flow->m_queued_sequences.contains(packet.m_sequence)) {
+  if (flow != nullptr && has_data && !packet.m_closing && flow->m_queued_sequences.contains(packet.m_sequence)) {
     CountDrop(EgressDropReason::kDuplicate, bytes.size());
     return false;
   }
@@ -109,9 +109,7 @@
   if (!m_short.empty() && !IsBulkDue()) {
     QueuedPacket packet = RemoveShort(now, m_short.begin());
     EarnBulkCredit(packet.m_datagram.m_bytes.size());
-    CountSent(now, packet.m_datagram.m_bytes.size());
-    ++m_counters.m_paced;
-    m_counters.m_paced_bytes += packet.m_datagram.m_bytes.size();
+    CountPaced(now, packet.m_datagram.m_bytes.size());
     return std::move(packet.m_datagram);
   }
   Flow* flow = NextBulkFlow();
@@ -128,9 +126,7 @@
   if (!is_late && !m_late.empty()) m_late_credit.Earn(size);
   m_bulk_credit.Spend(size, !m_short.empty());
   ChangeQueued(now, -1, -static_cast<std::ptrdiff_t>(size));
-  CountSent(now, size);
-  ++m_counters.m_paced;
-  m_counters.m_paced_bytes += size;
+  CountPaced(now, size);
   AfterDequeue(now, packet, flow);
   return std::move(packet.m_datagram);
 }
@@ -156,13 +152,13 @@
     if (front.m_flow_id == 0) return;
     const Flow* flow = Find(front.m_endpoints);
     if (flow != nullptr && flow->m_id == front.m_flow_id) return;
-    CountDrop(EgressDropReason::kFlowSilent, RemoveShort(now, m_short.begin()).m_datagram.m_bytes.size());
+    DropShort(now, m_short.begin(), EgressDropReason::kFlowSilent);
   }
 }
 
 void EgressScheduler::DropLateShort(TimePoint now) {
   while (!m_short.empty() && now - m_short.begin()->first > kMaxShortWait) {
-    CountDrop(EgressDropReason::kTooLate, RemoveShort(now, m_short.begin()).m_datagram.m_bytes.size());
+    DropShort(now, m_short.begin(), EgressDropReason::kTooLate);
   }
 }
 
@@ -175,15 +171,14 @@
 void EgressScheduler::DropExcess(TimePoint now) {
   while (m_queued_packets > kMaxQueuedPackets || m_queued_bytes > kMaxQueuedBytes) {
     if (ShortExceedsItsPart()) {
-      CountDrop(EgressDropReason::kQueueFull, RemoveShort(now, std::prev(m_short.end())).m_datagram.m_bytes.size());
+      DropShort(now, std::prev(m_short.end()), EgressDropReason::kQueueFull);
       continue;
     }
     Flow* last = LastBulkFlow();
     if (last == nullptr) return;
     const QueuedPacket packet = std::move(last->m_bulk.back());
     last->m_bulk.pop_back();
-    ChangeQueued(now, -1, -static_cast<std::ptrdiff_t>(packet.m_datagram.m_bytes.size()));
-    CountDrop(EgressDropReason::kQueueFull, packet.m_datagram.m_bytes.size());
+    CountBulkDrop(now, packet, EgressDropReason::kQueueFull);
     AfterDequeue(now, packet, last);
   }
 }
@@ -247,6 +242,22 @@
   m_counters.m_dropped_bytes[static_cast<std::size_t>(reason)] += bytes;
 }
 
+void EgressScheduler::DropShort(TimePoint now, std::multimap<TimePoint, QueuedPacket>::iterator place,
+                                EgressDropReason reason) {
+  CountDrop(reason, RemoveShort(now, place).m_datagram.m_bytes.size());
+}
+
+void EgressScheduler::CountBulkDrop(TimePoint now, const QueuedPacket& packet, EgressDropReason reason) {
+  ChangeQueued(now, -1, -static_cast<std::ptrdiff_t>(packet.m_datagram.m_bytes.size()));
+  CountDrop(reason, packet.m_datagram.m_bytes.size());
+}
+
+void EgressScheduler::CountPaced(TimePoint now, std::size_t bytes) {
+  CountSent(now, bytes);
+  ++m_counters.m_paced;
+  m_counters.m_paced_bytes += bytes;
+}
+
 void EgressScheduler::CountSent(TimePoint now, std::size_t bytes) {
   ++m_counters.m_sent;
   m_counters.m_sent_bytes += bytes;
--- a/src/steering/egress_scheduler_flows.cc
+++ b/src/steering/egress_scheduler_flows.cc
@@ -28,7 +28,7 @@
   Flow* flow = nullptr;
   if (found != m_flows_by_endpoints.end()) {
     flow = &*found->second;
-    m_flows.splice(m_flows.end(), m_flows, found->second);
+    SetSilent(now, false, found->second);
   } else {
     if (!packet.m_opening && packet.m_data_bytes == 0) return nullptr;
     flow = AddFlow(now, packet);
@@ -39,8 +39,22 @@
   return flow;
 }
 
+void EgressScheduler::SetSilent(TimePoint now, bool silent, std::list<Flow>::iterator flow) {
+  std::list<Flow>& from = flow->m_silent ? m_silent_flows : m_flows;
+  std::list<Flow>& to = silent ? m_silent_flows : m_flows;
+  to.splice(to.end(), from, flow);
+  if (flow->m_silent == silent) return;
+  flow->m_silent = silent;
+  UpdateRemaining(&*flow);
+  UpdateOrder(now, &*flow);
+}
+
 EgressScheduler::Flow* EgressScheduler::AddFlow(TimePoint now, const CookiePacket& packet) {
-  if (m_flows.size() >= kMaxFlows) return nullptr;
+  if (m_flows.size() + m_silent_flows.size() >= kMaxFlows) {
+    Flow* oldest = m_silent_flows.empty() ? &m_flows.front() : &m_silent_flows.front();
+    if (oldest->m_short_packets > 0 || !oldest->m_bulk.empty()) return nullptr;
+    RemoveFlow(now, oldest);
+  }
   Flow* flow = &m_flows.emplace_back();
   m_flows_by_endpoints.emplace(packet.m_endpoints, std::prev(m_flows.end()));
   flow->m_endpoints = packet.m_endpoints;
@@ -63,7 +77,10 @@
   flow->m_seen_bytes = 0;
   flow->m_answered = false;
   flow->m_short_position = {};
-  if (flow->m_service != nullptr) flow->m_expected_bytes = static_cast<std::uint64_t>(flow->m_service->m_mean_bytes);
+  // How much of a flow that was open before it reached this host is left is not known.
+  if (flow->m_service != nullptr && flow->m_seen_opening) {
+    flow->m_expected_bytes = static_cast<std::uint64_t>(flow->m_service->m_mean_bytes);
+  }
   UpdateRemaining(flow);
 }
 
@@ -117,7 +134,8 @@
 
 void EgressScheduler::UpdateRemaining(Flow* flow) {
   const std::uint64_t sent = flow->m_seen_bytes - std::min(flow->m_seen_bytes, flow->m_queued_bytes);
-  const std::uint64_t expected = flow->m_closed ? 0 : flow->m_expected_bytes - std::min(flow->m_expected_bytes, sent);
+  const bool expects_more = !flow->m_closed && !flow->m_silent;
+  const std::uint64_t expected = expects_more ? flow->m_expected_bytes - std::min(flow->m_expected_bytes, sent) : 0;
   const std::uint64_t remaining = std::max(expected, flow->m_queued_bytes);
   if (flow->m_service != nullptr) {
     ChangeOpenLoad(flow->m_service, 0, static_cast<std::int64_t>(remaining - flow->m_remaining_bytes));
@@ -193,8 +211,7 @@
 
 void EgressScheduler::RemoveFlow(TimePoint now, Flow* flow) {
   for (const QueuedPacket& packet : flow->m_bulk) {
-    CountDrop(EgressDropReason::kFlowSilent, packet.m_datagram.m_bytes.size());
-    ChangeQueued(now, -1, -static_cast<std::ptrdiff_t>(packet.m_datagram.m_bytes.size()));
+    CountBulkDrop(now, packet, EgressDropReason::kFlowSilent);
   }
   RemoveFromOrder(flow);
   if (flow->m_service != nullptr) {
@@ -203,7 +220,7 @@
   const auto found = m_flows_by_endpoints.find(flow->m_endpoints);
   const auto place = found->second;
   m_flows_by_endpoints.erase(found);
-  m_flows.erase(place);
+  (place->m_silent ? m_silent_flows : m_flows).erase(place);
 }
 
 void EgressScheduler::Forget(TimePoint now, const FlowEndpoints& endpoints) {
@@ -211,7 +228,11 @@
 }
 
 void EgressScheduler::RemoveSilentFlows(TimePoint now) {
-  while (!m_flows.empty() && now - m_flows.front().m_last_packet > kMaxSilence) RemoveFlow(now, &m_flows.front());
+  const auto is_silent_for = [now](const std::list<Flow>& flows, Duration span) {
+    return !flows.empty() && now - flows.front().m_last_packet > span;
+  };
+  while (is_silent_for(m_flows, kMaxExpectation)) SetSilent(now, true, m_flows.begin());
+  while (is_silent_for(m_silent_flows, kMaxSilence)) RemoveFlow(now, &m_silent_flows.front());
 }
 
 BulkDemand EgressScheduler::DemandOf(const Endpoint& service) const {
--- a/tests/egress_scheduler_test.cc
+++ b/tests/egress_scheduler_test.cc
@@ -38,6 +38,18 @@
     Open(client);
     for (std::uint32_t sequence = 1; sequence <= 6 + packets; ++sequence) (void)Data(client, sequence);
   }
+  // Sends all that is queued, and leaves the link idle.
+  void SendAll() {
+    for (; !m_scheduler.IsEmpty(); m_now += milliseconds(1)) (void)m_scheduler.Take(m_now);
+    m_now += milliseconds(100);
+  }
+  bool Close(std::uint32_t client, std::uint32_t sequence, std::uint32_t data_bytes) {
+    CookiePacket closing = LaterPacket(client, 1, true);
+    closing.m_sequence = sequence;
+    closing.m_data_bytes = data_bytes;
+    return Offer(closing);
+  }
+  std::uint64_t OpenBytes() { return m_scheduler.DemandOf(testing_support::kPublicAddress).m_open_bytes; }
   // Sends until nothing of the short class is left.
   void SendShort() {
     for (; !m_scheduler.IsEmpty(); m_now += EgressScheduler::kPacingInterval) {
@@ -212,8 +224,7 @@
 // Guards against the first data of a request that counts as bulk because of the bytes of the request before it.
 TEST_F(EgressSchedulerTest, FirstDataAfterALargeRequestIsShort) {
   QueueBulk(1, 10);
-  for (; !m_scheduler.IsEmpty(); m_now += milliseconds(1)) (void)m_scheduler.Take(m_now);
-  m_now += milliseconds(100);
+  SendAll();
   EXPECT_TRUE(Offer(LaterPacket(1, 1)));
   m_scheduler.Charge(m_now, 10000);
   EXPECT_FALSE(Data(1, 17));
@@ -303,6 +314,49 @@
   EXPECT_TRUE(m_scheduler.Take(m_now).has_value());
 }
 
+// Guards against refusals because of bytes that nobody is going to send: of flows that routers moved here, and of
+// clients that have gone.
+TEST_F(EgressSchedulerTest, ExpectsBytesOnlyOfActiveFlowsThatOpenedHere) {
+  for (std::uint32_t client = 1; client <= BulkAdmission::kMinFinishedFlows; ++client) {
+    QueueBulk(client, 14);
+    (void)Close(client, 21, 0);
+    SendAll();
+  }
+  EXPECT_EQ(OpenBytes(), 0U);
+  // A retransmission after the closing packet.
+  EXPECT_TRUE(Data(1, 20));
+  EXPECT_EQ(OpenBytes(), 0U);
+  Open(100);
+  EXPECT_EQ(OpenBytes(), 20 * kDataBytes);
+  m_now += milliseconds(501);
+  m_scheduler.RemoveSilentFlows(m_now);
+  EXPECT_EQ(OpenBytes(), 0U);
+  EXPECT_TRUE(Data(100, 1));
+  EXPECT_EQ(OpenBytes(), 19 * kDataBytes);
+}
+
+// Guards against a flow that is not closed at its target because its last data, which closes it, is retransmitted.
+TEST_F(EgressSchedulerTest, KeepsClosingPacketsWithQueuedData) {
+  QueueBulk(1, 10);
+  EXPECT_FALSE(Data(1, 17));
+  EXPECT_FALSE(Close(1, 17, kDataBytes));
+  EXPECT_EQ(Dropped(EgressDropReason::kDuplicate), 0U);
+}
+
+// Guards against new flows that are not scheduled because flows which send nothing any more use all places.
+TEST_F(EgressSchedulerTest, NewFlowsReplaceInactiveOnes) {
+  for (std::uint32_t client = 1; client <= EgressScheduler::kMaxFlows; ++client) Open(client);
+  constexpr std::uint32_t kNewClient = 100000;
+  QueueBulk(kNewClient, 3);
+  int bulk = 0;
+  for (; !m_scheduler.IsEmpty(); m_now += milliseconds(1)) {
+    while (const auto next = m_scheduler.Take(m_now)) {
+      bulk += ClientOf(*next) == kNewClient && next->m_class == EgressClass::kBulk ? 1 : 0;
+    }
+  }
+  EXPECT_GT(bulk, 0);
+}
+
 // Guards against log lines for each short queue, and against none for a link that stays full.
 TEST_F(EgressSchedulerTest, SaturationFollowsLongQueues) {
   QueueBulk(1, 1000);
@@ -371,6 +425,9 @@
   ASSERT_TRUE(IsOk(parse("")));
   EXPECT_EQ(ValueOf(parse("")).m_link_mbps, 0);
   EXPECT_EQ(ValueOf(parse(R"(,"link_mbps":2.8)")).m_link_mbps, 2.8);
+  EXPECT_EQ(ValueOf(parse(R"(,"link_mbps":0)")).m_link_mbps, 0);
+  EXPECT_EQ(ValueOf(parse(R"(,"link_mbps":0.01)")).m_link_mbps, 0.01);
+  EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":0.009)")));
   EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":-1)")));
   EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":1000001)")));
   EXPECT_FALSE(IsOk(parse(R"(,"link_mbps":"2.8")")));
