Release held opening packets with their present age

Cause: packets from the admission queue carried the age that they had on arrival, so the uplink's scheduler took their flows for younger ones. Change: AdmissionQueue::TakeNext sets the age from the first transmission. Result: the new test fails without the change (0 instead of 700 ms); admission_queue_test passes, 6 tests.

--- a/include/fighatch/admission_queue.h
+++ b/include/fighatch/admission_queue.h
@@ -41,8 +41,8 @@
   /// Adds a packet. A retransmission replaces the held packet of its flow and keeps the time of the first transmission.
   void Put(WaitingPacket packet);
 
-  /// Removes and returns the packet to serve next, skipping those to the `blocked` service addresses; empty if there is
-  /// none.
+  /// Removes and returns the packet to serve next, with its age at `now`, skipping those to the `blocked` service
+  /// addresses; empty if there is none.
   [[nodiscard]] std::optional<WaitingPacket> TakeNext(TimePoint now, const std::set<Endpoint>& blocked = {});
 
   /// Removes packets whose client has given up.
--- a/src/steering/admission_queue.cc
+++ b/src/steering/admission_queue.cc
@@ -42,6 +42,7 @@
   }
   WaitingPacket next = std::move(*place);
   m_packets.erase(place);
+  next.m_packet.m_age = now - next.m_first_sent;
   return next;
 }
 
--- a/tests/admission_queue_test.cc
+++ b/tests/admission_queue_test.cc
@@ -35,6 +35,15 @@
   EXPECT_FALSE(queue.TakeNext(kStart).has_value());
 }
 
+// Guards against a flow that seems as young as its packet was when it arrived: its time in this queue counts as well.
+TEST(AdmissionQueueTest, ReleasedPacketsHaveTheirPresentAge) {
+  AdmissionQueue queue;
+  queue.Put(MakePacket(1, 0, 0));
+  const std::optional<WaitingPacket> released = queue.TakeNext(kStart + milliseconds(700));
+  ASSERT_TRUE(released.has_value());
+  EXPECT_EQ(released->m_packet.m_age, milliseconds(700));
+}
+
 // Guards against callers that give up because newer ones, which are late as well, are served before them.
 TEST(AdmissionQueueTest, ServesTheOldestOfThoseThatAreLate) {
   AdmissionQueue queue;
