Admit opening packets of flows that are open

Cause: an opening packet that was repeated, or came from a router's change, could be refused as a new bulk flow, which reset the open one. The objective was looked up twice for each opening packet, and two vectors were allocated in each pacing interval. Change: RefuseBulkFlow asks the scheduler and CookieSteering whether the flow is open, after silent flows have been given up; the objective is passed on to OfferToLink; the vectors are members. No test covers the call in RefuseBulkFlow.

--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -138,6 +138,8 @@
   [[nodiscard]] const PublishedState& State() const noexcept { return m_state; }
   [[nodiscard]] TargetTable& Targets() noexcept { return m_targets; }
   [[nodiscard]] std::size_t OpenFlows() const noexcept { return m_flows.Size(); }
+  /// True if a flow with these endpoints has been placed and its end has not been seen.
+  [[nodiscard]] bool IsOpen(const FlowEndpoints& endpoints) const { return m_flows.Contains(endpoints); }
 
  private:
   // Reachability of a data centre, inferred from answers to opening packets.
--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -144,6 +144,9 @@
   /// for `kMaxExpectation`; `Offer` and `Take` do so too.
   void RemoveSilentFlows(TimePoint now);
 
+  /// True if packets of a flow with these endpoints were offered within `kMaxSilence`, and no closing one among them.
+  [[nodiscard]] bool IsOpen(const FlowEndpoints& endpoints) const;
+
   [[nodiscard]] BulkDemand DemandOf(const Endpoint& service) const;
 
   /// True from when datagrams have waited without a break for `kSaturationTime` until none has waited for that long.
--- a/include/fighatch/placed_flow_table.h
+++ b/include/fighatch/placed_flow_table.h
@@ -38,6 +38,8 @@
   /// removes a flow.
   [[nodiscard]] PlacedFlow* Find(const FlowEndpoints& endpoints);
 
+  [[nodiscard]] bool Contains(const FlowEndpoints& endpoints) const { return m_flows.contains(endpoints); }
+
   /// Adds or replaces a flow; false if the table is full.
   bool Put(const FlowEndpoints& endpoints, const PlacedFlow& flow);
 
--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -153,8 +153,9 @@
   }
   // Before steering, which would take the missing answer for a fault of the target.
   if (m_egress && m_egress->m_scheduler.DropDuplicateOpening(now, ValueOf(packet), datagram.m_bytes.size())) return;
-  if (const std::optional<SteeringDecision> refusal = RefuseBulkFlow(ValueOf(packet))) {
-    ApplyDecision(now, ValueOf(packet), datagram.m_bytes, *refusal);
+  const Duration objective = ObjectiveOf(ValueOf(packet));
+  if (const std::optional<SteeringDecision> refusal = RefuseBulkFlow(now, ValueOf(packet), objective)) {
+    ApplyDecision(now, ValueOf(packet), objective, datagram.m_bytes, *refusal);
     return;
   }
   const SteeringDecision decision = m_steering.Steer(now, ValueOf(packet));
@@ -162,11 +163,11 @@
     HoldPacket(now, ValueOf(packet), datagram.m_bytes, decision);
     return;
   }
-  ApplyDecision(now, ValueOf(packet), datagram.m_bytes, decision);
+  ApplyDecision(now, ValueOf(packet), objective, datagram.m_bytes, decision);
 }
 
-void SteeringBalancer::ApplyDecision(TimePoint now, const CookiePacket& packet, std::span<std::byte> bytes,
-                                     const SteeringDecision& decision) {
+void SteeringBalancer::ApplyDecision(TimePoint now, const CookiePacket& packet, Duration objective,
+                                     std::span<std::byte> bytes, const SteeringDecision& decision) {
   switch (decision.m_action) {
     case SteeringAction::kForward: {
       ++m_counters.m_forwarded;
@@ -174,7 +175,7 @@
       if (decision.m_opened_after) m_latencies.m_open.Add(*decision.m_opened_after);
       if (decision.m_closed_after) m_latencies.m_flow.Add(*decision.m_closed_after);
       const std::span<const std::byte> datagram = m_codec->Encapsulate(bytes, decision.m_target, decision.m_cookie);
-      if (!m_egress || OfferToLink(now, packet, decision.m_endpoint, datagram)) {
+      if (!m_egress || OfferToLink(now, packet, objective, decision.m_endpoint, datagram)) {
         m_outgoing.push_back({decision.m_endpoint, datagram});
       }
       break;
@@ -235,7 +236,8 @@
       continue;
     }
     m_latencies.m_wait.Add(now - packet.m_first_sent);
-    ApplyDecision(now, packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
+    ApplyDecision(now, packet.m_packet, ObjectiveOf(packet.m_packet),
+                  std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
     --budget;
   }
   for (WaitingPacket& packet : held) m_admission_queue.Put(std::move(packet));
@@ -254,7 +256,8 @@
   for (WaitingPacket& packet : m_admission_queue.RemoveExcess(m_steering.WaitingLimit(now))) {
     ++m_counters.m_refused_waiting;
     m_latencies.m_wait.Add(now - packet.m_first_sent);
-    ApplyDecision(now, packet.m_packet, std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes), refused);
+    ApplyDecision(now, packet.m_packet, Duration(0), std::span(packet.m_bytes).subspan(PacketCodec::kHeadroomBytes),
+                  refused);
   }
 }
 
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -67,6 +67,9 @@
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_queue_filled;
   bool m_saturated = false;
+  /// The datagrams of the latest pacing interval; kept, so that their memory is used again.
+  std::vector<EgressDatagram> m_taken;
+  std::vector<io::OutgoingDatagram> m_outgoing;
 };
 
 /// The daemon around a `CookieSteering`: receives client packets and forwards them to targets, follows the state that
@@ -95,7 +98,8 @@
   void ServePackets();
   void HandleBatch(std::span<const io::IncomingDatagram> batch);
   void HandlePacket(TimePoint now, const io::IncomingDatagram& datagram);
-  void ApplyDecision(TimePoint now, const CookiePacket& packet, std::span<std::byte> bytes,
+  // `objective` is that of `ObjectiveOf`, which forwarding needs.
+  void ApplyDecision(TimePoint now, const CookiePacket& packet, Duration objective, std::span<std::byte> bytes,
                      const SteeringDecision& decision);
   void HoldPacket(TimePoint now, const CookiePacket& packet, std::span<const std::byte> bytes,
                   const SteeringDecision& decision);
@@ -105,13 +109,15 @@
   void UpdateTargetReachability(TimePoint now);
   void LogDecision(const CookiePacket& packet, const SteeringDecision& decision);
   // True if the datagram is to be sent now; otherwise it waits in the queue of the uplink, or was dropped.
-  [[nodiscard]] bool OfferToLink(TimePoint now, const CookiePacket& packet, const Endpoint& target,
+  [[nodiscard]] bool OfferToLink(TimePoint now, const CookiePacket& packet, Duration objective, const Endpoint& target,
                                  std::span<const std::byte> datagram);
   void AccountReset(TimePoint now, const CookiePacket& packet, std::size_t bytes);
   // The refusal of an opening packet whose flow would send more than the uplink can take in time; empty if there is
   // none.
-  [[nodiscard]] std::optional<SteeringDecision> RefuseBulkFlow(const CookiePacket& packet);
-  [[nodiscard]] Duration ObjectiveOf(const Endpoint& service) const;
+  [[nodiscard]] std::optional<SteeringDecision> RefuseBulkFlow(TimePoint now, const CookiePacket& packet,
+                                                               Duration objective);
+  // The latency objective of an opening packet's route; 0 if it is unknown or not needed.
+  [[nodiscard]] Duration ObjectiveOf(const CookiePacket& packet) const;
   void ServeEgress();
   void SendQueuedDatagrams(TimePoint now);
   void LogLinkSaturation(TimePoint now);
--- a/src/balancer/steering_balancer_egress.cc
+++ b/src/balancer/steering_balancer_egress.cc
@@ -15,9 +15,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-bool SteeringBalancer::OfferToLink(TimePoint now, const CookiePacket& packet, const Endpoint& target,
-                                   std::span<const std::byte> datagram) {
-  const Duration objective = packet.m_opening ? ObjectiveOf(packet.m_endpoints.m_service) : Duration(0);
+bool SteeringBalancer::OfferToLink(TimePoint now, const CookiePacket& packet, Duration objective,
+                                   const Endpoint& target, std::span<const std::byte> datagram) {
   const bool was_empty = m_egress->m_scheduler.IsEmpty();
   const bool send_now = m_egress->m_scheduler.Offer(now, packet, objective, target, datagram);
   if (was_empty && !m_egress->m_scheduler.IsEmpty()) m_egress->m_queue_filled.notify_one();
@@ -29,20 +28,26 @@
   m_egress->m_scheduler.Charge(now, bytes);
 }
 
-std::optional<SteeringDecision> SteeringBalancer::RefuseBulkFlow(const CookiePacket& packet) {
+std::optional<SteeringDecision> SteeringBalancer::RefuseBulkFlow(TimePoint now, const CookiePacket& packet,
+                                                                 Duration objective) {
   if (!m_egress || !packet.m_opening) return std::nullopt;
-  const Endpoint& service = packet.m_endpoints.m_service;
-  const BulkDemand demand = m_egress->m_scheduler.DemandOf(service);
-  if (m_egress->m_bulk_admission.Admit(packet, ObjectiveOf(service), demand)) return std::nullopt;
+  EgressScheduler& scheduler = m_egress->m_scheduler;
+  // Refused opening packets are not offered, so that the demand must become current here.
+  scheduler.RemoveSilentFlows(now);
+  // A refusal would reset the flow that is open.
+  if (scheduler.IsOpen(packet.m_endpoints) || m_steering.IsOpen(packet.m_endpoints)) return std::nullopt;
+  const BulkDemand demand = scheduler.DemandOf(packet.m_endpoints.m_service);
+  if (m_egress->m_bulk_admission.Admit(packet, objective, demand)) return std::nullopt;
   SteeringDecision refusal;
   refusal.m_action = SteeringAction::kReset;
   refusal.m_reason = ErrorCode::kRequestOverloaded;
   return refusal;
 }
 
-Duration SteeringBalancer::ObjectiveOf(const Endpoint& service) const {
+Duration SteeringBalancer::ObjectiveOf(const CookiePacket& packet) const {
+  if (!m_egress || !packet.m_opening) return Duration(0);
   const std::map<Endpoint, Route>& routes = m_steering.State().m_routing.m_routes;
-  const auto route = routes.find(service);
+  const auto route = routes.find(packet.m_endpoints.m_service);
   return milliseconds(route == routes.end() ? 0 : route->second.m_objective_ms);
 }
 
@@ -64,13 +69,14 @@
 void SteeringBalancer::SendQueuedDatagrams(TimePoint now) {
   EgressScheduler& scheduler = m_egress->m_scheduler;
   scheduler.RemoveSilentFlows(now);
-  std::vector<EgressDatagram> taken;
+  std::vector<EgressDatagram>& taken = m_egress->m_taken;
+  taken.clear();
   while (std::optional<EgressDatagram> next = scheduler.Take(now)) {
     m_egress->m_queueing[static_cast<std::size_t>(next->m_class)].Add(now - next->m_queued_at);
     taken.push_back(std::move(*next));
   }
-  std::vector<io::OutgoingDatagram> outgoing;
-  outgoing.reserve(taken.size());
+  std::vector<io::OutgoingDatagram>& outgoing = m_egress->m_outgoing;
+  outgoing.clear();
   for (const EgressDatagram& datagram : taken) outgoing.push_back({datagram.m_destination, datagram.m_bytes});
   if (!outgoing.empty()) m_packet_socket->Send(outgoing);
 }
--- a/src/steering/egress_scheduler_flows.cc
+++ b/src/steering/egress_scheduler_flows.cc
@@ -235,6 +235,11 @@
   while (is_silent_for(m_silent_flows, kMaxSilence)) RemoveFlow(now, &m_silent_flows.front());
 }
 
+bool EgressScheduler::IsOpen(const FlowEndpoints& endpoints) const {
+  const auto found = m_flows_by_endpoints.find(endpoints);
+  return found != m_flows_by_endpoints.end() && !found->second->m_closed;
+}
+
 BulkDemand EgressScheduler::DemandOf(const Endpoint& service) const {
   const auto found = m_services.find(service);
   if (found == m_services.end()) return {0, 0, m_bulk_load.m_bytes, m_bytes_per_second};
--- a/tests/egress_scheduler_test.cc
+++ b/tests/egress_scheduler_test.cc
@@ -335,6 +335,15 @@
   EXPECT_EQ(OpenBytes(), 19 * kDataBytes);
 }
 
+// Guards against the refusal of an opening packet that resets a flow which is open.
+TEST_F(EgressSchedulerTest, KnowsOpenFlows) {
+  EXPECT_FALSE(m_scheduler.IsOpen(OpeningPacket(1).m_endpoints));
+  QueueBulk(1, 3);
+  EXPECT_TRUE(m_scheduler.IsOpen(OpeningPacket(1).m_endpoints));
+  (void)Close(1, 10, 0);
+  EXPECT_FALSE(m_scheduler.IsOpen(OpeningPacket(1).m_endpoints));
+}
+
 // Guards against a flow that is not closed at its target because its last data, which closes it, is retransmitted.
 TEST_F(EgressSchedulerTest, KeepsClosingPacketsWithQueuedData) {
   QueueBulk(1, 10);
--- a/tests/steering_cookie_test.cc
+++ b/tests/steering_cookie_test.cc
@@ -81,6 +81,19 @@
   EXPECT_EQ(targets_of_next_flows(milliseconds(20)), std::set<TargetId>{MakeTarget(2).m_id});
 }
 
+// Guards against the refusal of an opening packet that resets a flow which is open.
+TEST(CookieSteeringTest, KnowsOpenFlows) {
+  Balancer balancer;
+  balancer.ApplyState(MakeState());
+  balancer.AddTarget(MakeTarget(1));
+  const FlowEndpoints endpoints = OpeningPacket(1).m_endpoints;
+  EXPECT_FALSE(balancer.Steering().IsOpen(endpoints));
+  const SteeringDecision decision = balancer.Open(1);
+  EXPECT_TRUE(balancer.Steering().IsOpen(endpoints));
+  (void)balancer.Steer(LaterPacket(1, decision.m_cookie, true));
+  EXPECT_FALSE(balancer.Steering().IsOpen(endpoints));
+}
+
 // Guards against flows to the targets of a data centre that is out of service because all others are silent.
 TEST(CookieSteeringTest, SilentTargetOfDataCentreThatIsOutGetsNothing) {
   Balancer balancer;
