--- a/include/fighatch/admission_queue.h
+++ b/include/fighatch/admission_queue.h
@@ -44,8 +44,8 @@
   /// Adds a packet. A retransmission replaces the held packet of its flow and keeps the time of the first transmission.
   void Put(WaitingPacket packet);
 
-  /// Removes and returns the packet to serve next, skipping those to the `blocked` service addresses; empty if there is
-  /// none.
+  /// Removes and returns the packet to serve next, with its age at `now`, skipping those to the `blocked` service
+  /// addresses; empty if there is none.
   [[nodiscard]] std::optional<WaitingPacket> TakeNext(TimePoint now, const std::set<Endpoint>& blocked = {});
 
   /// Removes and returns all packets to one service address, in the order in which they are served while the service is
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -170,6 +170,8 @@
   [[nodiscard]] const PriorityShares& Shares() const noexcept { return m_shares; }
   /// Number of requests whose work was learned; 0 if the strategy does not need it.
   [[nodiscard]] std::uint64_t WorkSamples() const noexcept { return m_work_samples; }
+  /// True if a flow with these endpoints has been placed and its end has not been seen.
+  [[nodiscard]] bool IsOpen(const FlowEndpoints& endpoints) const { return m_flows.Contains(endpoints); }
 
  private:
   // Reachability of a data centre, inferred from answers to opening packets.
--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -34,14 +34,16 @@
 
 /// Why a packet was dropped instead of sent.
 enum class EgressDropReason : std::uint8_t {
-  /// The same data is still in the queue.
+  /// The same data, or an opening packet of the same flow, is still in the queue.
   kDuplicate = 0,
   /// The queue has reached its limit.
   kQueueFull = 1,
   /// The client sent nothing for `EgressScheduler::kMaxSilence`, or the flow was reset or replaced.
   kFlowSilent = 2,
+  /// A short packet has waited for longer than `EgressScheduler::kMaxShortWait`.
+  kTooLate = 3,
 };
-inline constexpr std::size_t kEgressDropReasons = 3;
+inline constexpr std::size_t kEgressDropReasons = 4;
 
 /// The name of the reason in metrics, for example "queue_full".
 [[nodiscard]] std::string_view EgressDropReasonName(EgressDropReason reason) noexcept;
@@ -89,14 +91,22 @@
   /// A short packet yields to others that arrive up to this much later, in proportion to what its flow has sent of
   /// `kShortBytes`: the first packets of many large flows do not delay flows of one packet.
   static constexpr Duration kShortSpread = std::chrono::milliseconds(500);
+  /// A short packet that waits for longer is dropped, counted from when it was queued plus its part of `kShortSpread`.
+  /// Clients retransmit after 200 ms: later packets would leave the link less for those that can be in time.
+  static constexpr Duration kMaxShortWait = std::chrono::milliseconds(150);
   /// What bulk data gets of the link at least while short packets fill it, and late flows of the bulk data at least
   /// while others can still finish in time.
   static constexpr double kGuaranteedShare = 0.1;
+  /// Datagrams that do not wait, such as resets, delay the others by at most this much.
+  static constexpr Duration kMaxChargedDelay = std::chrono::milliseconds(150);
   /// A flow that is silent for this long gives up its queue. Clients retransmit after 1,600 ms at the latest.
   static constexpr Duration kMaxSilence = std::chrono::seconds(2);
+  /// A flow that is silent for this long is not expected to send more than what is queued, until its next packet.
+  static constexpr Duration kMaxExpectation = std::chrono::milliseconds(500);
   static constexpr std::size_t kMaxQueuedPackets = 4096;
   static constexpr std::size_t kMaxQueuedBytes = std::size_t{2} << 20;
-  /// Beyond this, packets of further flows count as short, and sizes of further services are not learned.
+  /// Beyond `kMaxFlows` a new flow replaces the least recently active one if that one has nothing queued; otherwise its
+  /// packets count as short. Beyond `kMaxServices` sizes of further services are not learned.
   static constexpr std::size_t kMaxFlows = 16384;
   static constexpr std::size_t kMaxServices = 1024;
   /// The link counts as saturated after datagrams have waited without a break for this long.
@@ -117,6 +127,10 @@
   [[nodiscard]] bool Offer(TimePoint now, const CookiePacket& packet, Duration objective, const Endpoint& destination,
                            std::span<const std::byte> bytes);
 
+  /// True if a retransmitted opening packet of `bytes` bytes is to be dropped, because an earlier one of the same flow
+  /// has not left the queue; counts it. Ask before a target is chosen: the flow's target has not received anything yet.
+  [[nodiscard]] bool DropDuplicateOpening(TimePoint now, const CookiePacket& packet, std::size_t bytes);
+
   /// Accounts for a datagram that is sent without waiting, such as a reset or a message to another host.
   void Charge(TimePoint now, std::size_t bytes);
 
@@ -126,9 +140,13 @@
   /// Drops what is known and queued of a flow that was reset.
   void Forget(TimePoint now, const FlowEndpoints& endpoints);
 
-  /// Drops flows that have been silent for `kMaxSilence`; `Offer` and `Take` do so too.
+  /// Drops flows that have been silent for `kMaxSilence`, and gives up what is expected of those that have been silent
+  /// for `kMaxExpectation`; `Offer` and `Take` do so too.
   void RemoveSilentFlows(TimePoint now);
 
+  /// True if packets of a flow with these endpoints were offered within `kMaxSilence`, and no closing one among them.
+  [[nodiscard]] bool IsOpen(const FlowEndpoints& endpoints) const;
+
   [[nodiscard]] BulkDemand DemandOf(const Endpoint& service) const;
 
   /// True from when datagrams have waited without a break for `kSaturationTime` until none has waited for that long.
@@ -167,6 +185,9 @@
     std::uint64_t m_flow_id = 0;
     std::uint32_t m_sequence = 0;
     std::uint32_t m_data_bytes = 0;
+    bool m_opening = false;
+    // Data and closing packets do not overtake each other.
+    bool m_keeps_order = false;
   };
 
   // Flows in order of a time; the id makes the order of equal times definite.
@@ -189,15 +210,19 @@
     // This flow's part of `Service::m_open`.
     std::uint64_t m_remaining_bytes = 0;
     std::optional<std::uint32_t> m_highest_sequence;
-    // Short packets in the queue, and the position that the last of them has there.
+    // Short packets in the queue, those of them that keep their order, and the position that the last of these has.
     std::size_t m_short_packets = 0;
+    std::size_t m_ordered_short_packets = 0;
     TimePoint m_short_position;
+    std::size_t m_queued_openings = 0;
     std::list<QueuedPacket> m_bulk;
     std::unordered_set<std::uint32_t> m_queued_sequences;
     // The map of flows that the flow is in, if any, and its key in `m_finish_limits`. While bytes leave, the limit may
     // become later than the key; it is computed anew when the time of the key has come.
     FlowOrder* m_order = nullptr;
     std::optional<TimePoint> m_finish_limit;
+    // In `m_silent_flows`.
+    bool m_silent = false;
     bool m_seen_opening = false;
     // The client has sent a packet without data since its last data: it has an answer.
     bool m_answered = false;
@@ -217,12 +242,17 @@
 
   // Finds or adds the flow of a packet; null if the packet needs none, or if there are too many flows.
   [[nodiscard]] Flow* Track(TimePoint now, const CookiePacket& packet, Duration objective);
+  // Moves the flow to the end of one of the lists.
+  void SetSilent(TimePoint now, bool silent, std::list<Flow>::iterator flow);
   [[nodiscard]] Flow* AddFlow(TimePoint now, const CookiePacket& packet);
   [[nodiscard]] Flow* Find(const FlowEndpoints& endpoints);
   [[nodiscard]] Service* FindOrAddService(const Endpoint& address);
   void BeginRequest(TimePoint started, Flow* flow);
+  [[nodiscard]] static bool HasNewData(const CookiePacket& packet, const Flow& flow);
+  // Begins a new request if the packet carries the first data after an answer.
+  void BeginRequestIfAnswered(TimePoint now, const CookiePacket& packet, Flow* flow);
   // Counts the packet in its flow, and the size of the flow on its closing packet.
-  void Record(TimePoint now, const CookiePacket& packet, Flow* flow);
+  void Record(const CookiePacket& packet, Flow* flow);
   void AddSample(const Flow& flow);
   void RemoveFlow(TimePoint now, Flow* flow);
   // Accounts for a packet that has left the queue; removes the flow if it is closed and nothing is left of it.
@@ -244,13 +274,23 @@
   void Enqueue(TimePoint now, Flow* flow, QueuedPacket packet, std::uint64_t bytes_before);
   [[nodiscard]] QueuedPacket RemoveShort(TimePoint now, std::multimap<TimePoint, QueuedPacket>::iterator place);
   [[nodiscard]] EgressDatagram TakeBulk(TimePoint now, Flow* flow);
-  // True if a flow with bulk data may be served; a flow whose short packets wait does not count.
+  // True if a flow with bulk data may be served; a flow whose short data waits does not count.
   [[nodiscard]] bool HasBulkQueued() const { return !m_on_time.empty() || !m_late.empty(); }
   [[nodiscard]] bool IsBulkDue() const;
   void DropShortOfRemovedFlows(TimePoint now);
+  // Drops the short packets that have waited for longer than `kMaxShortWait`.
+  void DropLateShort(TimePoint now);
+  // True if short packets use more of the queue than bulk data leaves to them.
+  [[nodiscard]] bool ShortExceedsItsPart() const;
   void DropExcess(TimePoint now);
   void CountDrop(EgressDropReason reason, std::size_t bytes);
+  // Removes a short packet from the queue and counts it as dropped.
+  void DropShort(TimePoint now, std::multimap<TimePoint, QueuedPacket>::iterator place, EgressDropReason reason);
+  // Accounts for a packet of bulk data that was removed from its flow to be dropped.
+  void CountBulkDrop(TimePoint now, const QueuedPacket& packet, EgressDropReason reason);
   void CountSent(TimePoint now, std::size_t bytes);
+  // `CountSent` for a datagram that has waited.
+  void CountPaced(TimePoint now, std::size_t bytes);
   void ChangeQueued(TimePoint now, std::ptrdiff_t packets, std::ptrdiff_t bytes);
   void UseLink(TimePoint now, std::size_t bytes);
   void EarnBulkCredit(std::size_t bytes);
@@ -261,15 +301,18 @@
   // When the link has sent all that it was given.
   TimePoint m_link_free_at;
   std::map<Endpoint, Service> m_services;
-  // Sorted by last packet, the most recent one last.
+  // Sorted by last packet, the most recent one last. Flows without a packet for `kMaxExpectation` are in
+  // `m_silent_flows`.
   std::list<Flow> m_flows;
+  std::list<Flow> m_silent_flows;
   std::unordered_map<FlowEndpoints, std::list<Flow>::iterator> m_flows_by_endpoints;
   std::uint64_t m_last_flow_id = 0;
   std::multimap<TimePoint, QueuedPacket> m_short;
+  std::size_t m_short_bytes = 0;
   // Flows with bulk data to send, by start: those that can finish in time, and the others.
   FlowOrder m_on_time;
   FlowOrder m_late;
-  // Flows whose bulk data waits for short packets of the same flow, which it must not overtake.
+  // Flows whose bulk data waits for short data of the same flow, which it must not overtake.
   FlowOrder m_blocked;
   // The flows of `m_on_time` with an objective, by the last moment at which they can begin to send the rest.
   FlowOrder m_finish_limits;
--- a/src/balancer/steering_balancer.cc
+++ b/src/balancer/steering_balancer.cc
@@ -164,8 +164,11 @@
     if (m_log_line_budget.Allow()) LOG(WARNING) << "event=packet_refused " << ToString(ErrorOf(packet));
     return;
   }
-  if (const std::optional<SteeringDecision> refusal = RefuseBulkFlow(ValueOf(packet))) {
-    ApplyDecision(now, ValueOf(packet), datagram.m_bytes, *refusal);
+  // Before steering, which would take the missing answer for a fault of the target.
+  if (m_egress && m_egress->m_scheduler.DropDuplicateOpening(now, ValueOf(packet), datagram.m_bytes.size())) return;
+  const Duration objective = ObjectiveOf(ValueOf(packet));
+  if (const std::optional<SteeringDecision> refusal = RefuseBulkFlow(now, ValueOf(packet), objective)) {
+    ApplyDecision(now, ValueOf(packet), objective, datagram.m_bytes, *refusal);
     return;
   }
   const SteeringDecision decision = m_steering.Steer(now, ValueOf(packet));
@@ -173,11 +176,11 @@
     HoldPacket(now, ValueOf(packet), datagram.m_bytes, decision);
     return;
   }
-  ApplyDecision(now, ValueOf(packet), datagram.m_bytes, decision);
+  ApplyDecision(now, ValueOf(packet), objective, datagram.m_bytes, decision);
 }
 
-void SteeringBalancer::ApplyDecision(TimePoint now, const CookiePacket& packet, std::span<std::byte> bytes,
-                                     const SteeringDecision& decision) {
+void SteeringBalancer::ApplyDecision(TimePoint now, const CookiePacket& packet, Duration objective,
+                                     std::span<std::byte> bytes, const SteeringDecision& decision) {
   switch (decision.m_action) {
     case SteeringAction::kForward: {
       ++m_counters.m_forwarded;
@@ -186,7 +189,7 @@
       if (decision.m_opened_after) m_latencies.m_open.Add(*decision.m_opened_after);
       if (decision.m_closed_after) m_latencies.m_flow.Add(*decision.m_closed_after);
       const std::span<const std::byte> datagram = m_codec->Encapsulate(bytes, decision.m_target, decision.m_cookie);
-      if (!m_egress || OfferToLink(now, packet, decision.m_endpoint, datagram)) {
+      if (!m_egress || OfferToLink(now, packet, objective, decision.m_endpoint, datagram)) {
         m_outgoing.push_back({decision.m_endpoint, datagram});
       }
       break;
@@ -273,7 +276,8 @@
 
 void SteeringBalancer::ApplyToWaitingPacket(TimePoint now, WaitingPacket* packet, const SteeringDecision& decision) {
   m_latencies.m_wait.Add(now - packet->m_first_sent);
-  ApplyDecision(now, packet->m_packet, std::span(packet->m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
+  ApplyDecision(now, packet->m_packet, ObjectiveOf(packet->m_packet),
+                std::span(packet->m_bytes).subspan(PacketCodec::kHeadroomBytes), decision);
 }
 
 void SteeringBalancer::UpdateTargetReachability(TimePoint now) {
--- a/src/config/steering_balancer_settings.cc
+++ b/src/config/steering_balancer_settings.cc
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kMaxDuration{600000};
+// A full packet takes a second at this rate.
+constexpr double kMinLinkMbps = 0.01;
 constexpr double kMaxLinkMbps = 1000000;
 constexpr std::array<std::string_view, 2> kPlacementNames = {"expected_time", "remaining_work"};
 
@@ -43,6 +45,9 @@
   reader.OptionalBool("rate_shares", &settings.m_rate_shares);
   reader.OptionalNumber("link_mbps", 0, kMaxLinkMbps, &settings.m_link_mbps);
   ReadPlacement(reader, &settings.m_placement);
+  if (settings.m_link_mbps > 0 && settings.m_link_mbps < kMinLinkMbps) {
+    reader.Fail(ErrorCode::kSettingsOutOfRange, "link_mbps", "between 0 and 0.01");
+  }
   const Status status = reader.Finish();
   if (!IsOk(status)) return ErrorOf(status);
   return settings;
--- a/src/steering/cookie_steering_shares.cc
+++ b/src/steering/cookie_steering_shares.cc
@@ -84,6 +84,7 @@
   const Duration request_time = m_shares.Room(service)->m_request_time;
   std::size_t ahead = 0;
   for (WaitingPacket& packet : queue->TakeInTurns(route.m_address, now + request_time)) {
+    packet.m_packet.m_age = now - packet.m_first_sent;
     if (ahead == 0) {
       const SteeringDecision decision = PlaceFlow(now, packet.m_packet, packet.m_first_sent, PacketSource::kWaiting);
       if (decision.m_action != SteeringAction::kHold) {
