Send records by the table before all changes of the last 1.5 s

Cause: the window of changes started at the first of a run of changes, so that it could end between two changes that holders saw in different order, and each took the other one for the sender. Change: FlowDecider keeps each replaced table for kLearningLimit and uses the oldest.

--- a/include/fighatch/flow_decider.h
+++ b/include/fighatch/flow_decider.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -105,6 +106,11 @@
     std::uint16_t m_shards = 1;
     std::set<std::uint16_t> m_finished_shards;
   };
+  /// A table that a change replaced, and the time of the change.
+  struct ReplacedTable {
+    std::shared_ptr<const ForwardingTable> m_table;
+    TimePoint m_replaced;
+  };
   /// A service whose table differs from the former one; `m_table` is null if the service was removed.
   struct ChangedService {
     ServiceId m_id;
@@ -183,9 +189,8 @@
   std::set<ServiceId> m_services_with_unrecorded_flows;
   /// The table under which the last finished scan distributed the records; null if no scan is in progress.
   std::shared_ptr<const ForwardingTable> m_scan_former_table;
-  /// The table that the first of the last changes replaced, at `m_changes_started`; null if there was no change lately.
-  std::shared_ptr<const ForwardingTable> m_table_before_changes;
-  TimePoint m_changes_started;
+  /// The tables that the last changes replaced, the oldest first; empty if there was no change lately.
+  std::deque<ReplacedTable> m_replaced_tables;
   std::size_t m_scan_position = 0;
   bool m_is_scanning = false;
   std::size_t m_refresh_position = 0;
--- a/src/flow/flow_decider_records.cc
+++ b/src/flow/flow_decider_records.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "fighatch/flow_decider.h"
+#include "fighatch/owner_transition.h"
 #include "flow/record_holders.h"
 
 namespace fighatch {
@@ -18,7 +19,7 @@
 constexpr std::uint32_t kSettledRecordTicks = FlowTicks(std::chrono::seconds(10));
 /// Changes of members and of owners take different ways to the balancers. After this time all that are reachable have
 /// both; the learning phase waits as long for their acknowledgements.
-constexpr Duration kTableSkew = std::chrono::milliseconds(1500);
+constexpr Duration kTableSkew = kLearningLimit;
 
 /// The balancers that hold a record under the table; none if its slot is settled or its service is gone.
 RecordHolders RecordHoldersBy(const ForwardingTable& table, const FlowRecord& record, bool with_joining) {
@@ -90,10 +91,10 @@
 }
 
 void FlowDecider::StartScan(const std::shared_ptr<const ForwardingTable>& former, TimePoint now) {
-  if (m_table_before_changes == nullptr || now - m_changes_started > kTableSkew) {
-    m_table_before_changes = former;
-    m_changes_started = now;
+  while (!m_replaced_tables.empty() && now - m_replaced_tables.front().m_replaced > kTableSkew) {
+    m_replaced_tables.pop_front();
   }
+  m_replaced_tables.push_back({former, now});
   // A scan in progress starts again, still from the table under which the records were last distributed.
   if (!m_is_scanning) m_scan_former_table = former;
   m_is_scanning = true;
@@ -186,7 +187,9 @@
 
 std::vector<OutgoingRecords> FlowDecider::Tick(TimePoint now) {
   if (m_table == nullptr) return {};
-  if (!m_is_scanning && now - m_changes_started > kTableSkew) m_table_before_changes = nullptr;
+  if (!m_is_scanning && !m_replaced_tables.empty() && now - m_replaced_tables.back().m_replaced > kTableSkew) {
+    m_replaced_tables.clear();
+  }
   if (m_is_scanning) {
     ScanRecords();
   } else if (m_records.size() > 0) {
@@ -249,8 +252,8 @@
 bool FlowDecider::IsSenderBeforeChanges(const FlowRecord& record) const {
   // If two changes come close together and balancers get them in different order, then by the tables between the two
   // each holder may take another one for the sender. By the table before both they agree.
-  if (m_table_before_changes == nullptr) return false;
-  const RecordHolders holders = RecordHoldersBy(*m_table_before_changes, record, false);
+  if (m_replaced_tables.empty()) return false;
+  const RecordHolders holders = RecordHoldersBy(*m_replaced_tables.front().m_table, record, false);
   return holders.Has(m_table->Self()) && IsSender(holders, m_table->Keepers(), m_table->Self());
 }
 
--- a/tests/flow_decider_test.cc
+++ b/tests/flow_decider_test.cc
@@ -175,10 +175,10 @@
   }
 }
 
-// Guards against a record that nobody sends when the keepers of a slot move to another data centre while a balancer
-// becomes ready: the former keeper gets the member first and the table next, the new keeper of that moment the other
-// way round, and each takes the other one for the sender.
-TEST(FlowDeciderTest, HoldersAgreeOnTheSenderWhenChangesComeInDifferentOrder) {
+// The keepers of a slot move to another data centre while a balancer becomes ready: the former keeper gets the member
+// first and the table next, the new keeper of that moment the other way round. The earlier change changes nothing in
+// the table, and comes 1.55 s before the second of the two.
+void ExpectHoldersAgreeOnTheSender(bool has_earlier_change) {
   TableFixture fixture;
   for (const std::uint16_t data_centre : {std::uint16_t{1}, std::uint16_t{2}}) fixture.AddDataCentre(data_centre);
   fixture.AddService(1, {1, 2});
@@ -227,7 +227,12 @@
     if (decision.m_kind != DecisionKind::kTarget || owners.m_keeper_data_centre != DataCentreId{1}) continue;
     recorded.insert(packet.m_flow_hash);
   }
-  run(0, 2000);
+  run(0, 550);
+  if (has_earlier_change) {
+    former.SetTable(fixture.Build(2, 2), AtMs(550));
+    joined.SetTable(fixture.Build(3, 2), AtMs(550));
+  }
+  run(550, 2000);
   former.SetTable(ready.Build(2, 2), AtMs(2000));
   joined.SetTable(learning.Build(3, 2), AtMs(2000));
   run(2000, 2100);
@@ -239,6 +244,12 @@
       << sent.size() << " of " << recorded.size() << " records reached the new keeper";
 }
 
+// Guards against a record that nobody sends because each of two holders takes the other one for the sender.
+TEST(FlowDeciderTest, HoldersAgreeOnTheSenderWhenChangesComeInDifferentOrder) { ExpectHoldersAgreeOnTheSender(false); }
+
+// Guards against a window of time that starts at an earlier change, and ends between the two changes.
+TEST(FlowDeciderTest, HoldersAgreeOnTheSenderAfterAnEarlierChange) { ExpectHoldersAgreeOnTheSender(true); }
+
 // Guards against a balancer that decides by a stale table although it can reach a balancer with a confirmed one.
 TEST(FlowDeciderTest, AStaleBalancerAsksAFreshPeer) {
   TargetJoinFixture fixture(2);
