Keep flows and rates that a summary of load leaves out

Cause: a sender with room leaves flows out, and its summary replaced one with flows, so that the flows of a data centre fell to 0; a summary of few balancers replaced the rates of many. RefreshLoadCounts dropped load reports that used to expire in Tick only. Change: LoadSummary states whether it has flows. LoadView holds flows and rates of a data centre separately, and keeps rates of more than twice as many balancers. RefreshLoadCounts and MakeSummary remove only expired summaries and rates; a summary leaves expired reports out.

--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -119,7 +119,7 @@
   /// `AdmissionQueue::kMaxWait`.
   [[nodiscard]] std::size_t WaitingLimit(TimePoint now) const;
 
-  /// Stops counting silent flows and expired messages as load; call it every few tens of milliseconds.
+  /// Stops counting silent flows and expired summaries as load; call it every few tens of milliseconds.
   void RefreshLoadCounts(TimePoint now);
 
   /// Removes idle flows, ended targets and expired reports; call it every few hundred milliseconds.
--- a/include/fighatch/load_summary.h
+++ b/include/fighatch/load_summary.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,8 @@
 inline constexpr std::uint8_t kLoadSummaryVersion = 1;
 
 /// Sent to a balancer of another data centre: the load that the balancers of the sender's data centre put on targets.
-/// The newest summary of a data centre replaces the previous one, whichever of its balancers sent it.
+/// The newest summary of a data centre replaces the previous one, whichever of its balancers sent it, except for what
+/// the newest leaves out (see `LoadView::Receive`).
 struct LoadSummary {
   static constexpr std::size_t kMaxLoads = 8192;
   static constexpr std::size_t kMaxDataCentreBytes = 255;
@@ -33,7 +35,9 @@
   std::uint64_t m_sequence = 0;
   /// Number of balancers whose offered rates are included, the sender among them.
   std::uint32_t m_balancers = 0;
-  /// Flows in progress by target; empty unless the sender was recently short of room.
+  /// True if `m_loads` holds the flows of the data centre: only if the sender was recently short of room.
+  bool m_has_flows = false;
+  /// Flows in progress by target.
   std::vector<CookieLoad> m_loads;
   std::vector<OfferedRate> m_rates;
 
@@ -45,6 +49,10 @@
     SerializeText(archive, m_data_centre, kMaxDataCentreBytes);
     SerializeVarint(archive, m_sequence);
     SerializeVarint(archive, m_balancers);
+    std::uint8_t has_flows = m_has_flows ? 1 : 0;
+    SerializeVarint(archive, has_flows);
+    if (has_flows > 1) throw std::length_error("flag is out of range");
+    m_has_flows = has_flows == 1;
     SerializeList(archive, m_loads, kMaxLoads, [](Archive& items, CookieLoad& load) {
       items(load.m_cookie);
       SerializeVarint(items, load.m_flows);
--- a/include/fighatch/load_view.h
+++ b/include/fighatch/load_view.h
@@ -31,8 +31,9 @@
 /// What a balancer knows of the load that the other balancers put on targets, and with whom it exchanges load. With few
 /// balancers each reports to all. With more, each reports to those of its data centre, and summaries carry the load of
 /// one data centre to the others. A summary holds only what balancers of its own data centre reported, so that no load
-/// is counted twice. While there is a summary of a data centre, single reports from there are not counted. It reads no
-/// clock: each call gets the time, and queries answer as of the last call with a time.
+/// is counted twice. While there are flows of a data centre from a summary, single reports from there are not counted,
+/// and likewise for rates. It reads no clock: each call gets the time, and queries answer as of the last call with a
+/// time.
 class LoadView {
  public:
   /// With more balancers than this, each reports within its data centre only.
@@ -58,10 +59,14 @@
   /// it was taken.
   bool Receive(TimePoint now, const LoadReport& report);
   bool Receive(TimePoint now, const OfferedLoad& load);
+  /// A summary without flows replaces only rates. Rates of fewer than half as many balancers do not replace those that
+  /// are held.
   bool Receive(TimePoint now, const LoadSummary& summary);
 
-  /// Removes what has expired; true if the flows of other balancers have changed. Call it every few tens of
-  /// milliseconds.
+  /// Removes summaries and rates that have expired; true if the flows of other balancers have changed. Call it every
+  /// few tens of milliseconds.
+  bool RemoveExpiredSummaries(TimePoint now);
+  /// Removes all that has expired, load reports included; true if the flows of other balancers have changed.
   bool RemoveExpired(TimePoint now);
 
   /// Flows that other balancers have at each target, by cookie.
@@ -105,6 +110,13 @@
   };
   template <typename Message>
   using BySender = std::map<HostId, Received<Message>>;
+  template <typename Content>
+  using ByDataCentre = std::map<std::string, Received<Content>>;
+  // Rates of a summary, and the number of balancers whose rates they are.
+  struct SummedRates {
+    std::uint32_t m_balancers = 0;
+    std::vector<OfferedRate> m_rates;
+  };
   // When the last summary of a sender arrived, and its sequence.
   struct SummaryMark {
     TimePoint m_received;
@@ -117,12 +129,16 @@
   [[nodiscard]] bool IsLate(TimePoint now, TimePoint received, std::uint64_t last, std::uint64_t next) const {
     return next <= last && now - received < m_options.m_lifetime;
   }
+  [[nodiscard]] bool IsExpired(TimePoint now, TimePoint received) const {
+    return now - received > m_options.m_lifetime;
+  }
   // The data centre of a balancer; null if it is unknown.
   [[nodiscard]] const std::string* DataCentreOf(HostId host) const;
   // True if the balancer is known to be in this one's data centre.
   [[nodiscard]] bool IsLocal(HostId host) const;
-  // True unless a summary covers what the balancer reports.
-  [[nodiscard]] bool CountsDirectly(HostId host) const;
+  // True unless summaries cover what the balancer reports.
+  template <typename Content>
+  [[nodiscard]] bool CountsDirectly(HostId host, const ByDataCentre<Content>& summed) const;
   [[nodiscard]] const std::vector<HostId>& LocalBalancers() const;
 
   LoadViewOptions m_options;
@@ -131,8 +147,9 @@
   std::map<std::string, std::vector<HostId>> m_members;
   BySender<LoadReport> m_reports;
   BySender<OfferedLoad> m_offered;
-  // The newest summary of each other data centre.
-  std::map<std::string, Received<LoadSummary>> m_summaries;
+  // Flows and rates of each other data centre, which may come from different summaries.
+  ByDataCentre<std::vector<CookieLoad>> m_summed_flows;
+  ByDataCentre<SummedRates> m_summed_rates;
   std::map<HostId, SummaryMark> m_summary_marks;
   std::uint64_t m_sequence = 0;
   bool m_is_short = false;
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -226,7 +226,7 @@
     const Duration load_timeout = flow->m_established ? m_options.m_load_timeout : m_options.m_opening_load_timeout;
     if (now - flow->m_last_packet > load_timeout) SetCountsAsLoad(flow, false);
   });
-  if (m_view.RemoveExpired(now)) SumReports();
+  if (m_view.RemoveExpiredSummaries(now)) SumReports();
 }
 
 void CookieSteering::RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed) {
@@ -290,7 +290,7 @@
 }
 
 LoadSummary CookieSteering::MakeSummary(TimePoint now) {
-  if (m_view.RemoveExpired(now)) SumReports();
+  if (m_view.RemoveExpiredSummaries(now)) SumReports();
   return m_view.MakeSummary(now, OwnLoads(), m_offered_rates.Rates(now));
 }
 
--- a/src/steering/load_view.cc
+++ b/src/steering/load_view.cc
@@ -78,17 +78,33 @@
       IsLate(now, mark->second.m_received, mark->second.m_sequence, summary.m_sequence)) {
     return false;
   }
-  if (!m_summaries.contains(summary.m_data_centre) && m_summaries.size() >= kMaxDataCentres) return false;
+  const std::string& data_centre = summary.m_data_centre;
+  const bool is_known = m_summed_flows.contains(data_centre) || m_summed_rates.contains(data_centre);
+  if (!is_known && std::max(m_summed_flows.size(), m_summed_rates.size()) >= kMaxDataCentres) return false;
   m_summary_marks[summary.m_from] = {now, summary.m_sequence};
-  m_summaries.insert_or_assign(summary.m_data_centre, Received<LoadSummary>{now, summary});
+  if (summary.m_has_flows)
+    m_summed_flows.insert_or_assign(data_centre, Received<std::vector<CookieLoad>>{now, summary.m_loads});
+  const auto held = m_summed_rates.find(data_centre);
+  if (held != m_summed_rates.end() && !IsExpired(now, held->second.m_received)) {
+    const std::uint32_t balancers = held->second.m_message.m_balancers;
+    if (summary.m_balancers < balancers - balancers / 2) return true;
+  }
+  m_summed_rates.insert_or_assign(data_centre, Received<SummedRates>{now, {summary.m_balancers, summary.m_rates}});
   return true;
 }
 
-bool LoadView::RemoveExpired(TimePoint now) {
-  const auto is_expired = [&](const auto& entry) { return now - entry.second.m_received > m_options.m_lifetime; };
+bool LoadView::RemoveExpiredSummaries(TimePoint now) {
+  const auto is_expired = [&](const auto& entry) { return IsExpired(now, entry.second.m_received); };
   std::erase_if(m_offered, is_expired);
   std::erase_if(m_summary_marks, is_expired);
-  return std::erase_if(m_reports, is_expired) + std::erase_if(m_summaries, is_expired) > 0;
+  std::erase_if(m_summed_rates, is_expired);
+  return std::erase_if(m_summed_flows, is_expired) > 0;
+}
+
+bool LoadView::RemoveExpired(TimePoint now) {
+  const bool flows_changed = RemoveExpiredSummaries(now);
+  const auto is_expired = [&](const auto& entry) { return IsExpired(now, entry.second.m_received); };
+  return std::erase_if(m_reports, is_expired) > 0 || flows_changed;
 }
 
 const std::string* LoadView::DataCentreOf(HostId host) const {
@@ -101,20 +117,21 @@
   return data_centre != nullptr && *data_centre == m_options.m_data_centre;
 }
 
-bool LoadView::CountsDirectly(HostId host) const {
-  if (m_summaries.empty()) return true;
+template <typename Content>
+bool LoadView::CountsDirectly(HostId host, const ByDataCentre<Content>& summed) const {
+  if (summed.empty()) return true;
   const std::string* data_centre = DataCentreOf(host);
-  return data_centre == nullptr || !m_summaries.contains(*data_centre);
+  return data_centre == nullptr || !summed.contains(*data_centre);
 }
 
 std::unordered_map<std::uint32_t, std::uint32_t> LoadView::RemoteFlows() const {
   std::unordered_map<std::uint32_t, std::uint32_t> flows;
   for (const auto& [host, received] : m_reports) {
-    if (!CountsDirectly(host)) continue;
+    if (!CountsDirectly(host, m_summed_flows)) continue;
     for (const CookieLoad& load : received.m_message.m_loads) flows[load.m_cookie] += load.m_flows;
   }
-  for (const auto& [data_centre, received] : m_summaries) {
-    for (const CookieLoad& load : received.m_message.m_loads) flows[load.m_cookie] += load.m_flows;
+  for (const auto& [data_centre, received] : m_summed_flows) {
+    for (const CookieLoad& load : received.m_message) flows[load.m_cookie] += load.m_flows;
   }
   return flows;
 }
@@ -122,11 +139,11 @@
 ServiceDemand LoadView::DemandOf(const std::string& service) const {
   ServiceDemand demand;
   for (const auto& [host, received] : m_offered) {
-    if (!CountsDirectly(host)) continue;
+    if (!CountsDirectly(host, m_summed_rates)) continue;
     AddDemand(received.m_message.m_rates, service, &demand);
     ++demand.m_balancers;
   }
-  for (const auto& [data_centre, received] : m_summaries) {
+  for (const auto& [data_centre, received] : m_summed_rates) {
     AddDemand(received.m_message.m_rates, service, &demand);
     demand.m_balancers += received.m_message.m_balancers;
   }
@@ -143,13 +160,14 @@
   SummaryBuilder builder;
   builder.Add(own_rates);
   if (WasRecentlyShort(now)) {
+    summary.m_has_flows = true;
     builder.Add(own_loads);
     for (const auto& [host, received] : m_reports) {
-      if (IsLocal(host)) builder.Add(received.m_message.m_loads);
+      if (IsLocal(host) && !IsExpired(now, received.m_received)) builder.Add(received.m_message.m_loads);
     }
   }
   for (const auto& [host, received] : m_offered) {
-    if (!IsLocal(host)) continue;
+    if (!IsLocal(host) || IsExpired(now, received.m_received)) continue;
     builder.Add(received.m_message.m_rates);
     ++summary.m_balancers;
   }
--- a/tests/load_message_test.cc
+++ b/tests/load_message_test.cc
@@ -16,7 +16,7 @@
 }
 
 LoadSummary MakeSummary() {
-  return {kLoadSummaryVersion, HostId{4}, "b", 41, 22, {{0x1001, 2}, {0xFFFFFFFF, 65535}}, MakeLoad().m_rates};
+  return {kLoadSummaryVersion, HostId{4}, "b", 41, 22, true, {{0x1001, 2}, {0xFFFFFFFF, 65535}}, MakeLoad().m_rates};
 }
 
 // Guards against fields that are lost or change on the wire.
@@ -77,8 +77,8 @@
   };
   const std::vector<std::byte> load = EncodeOfferedLoad({kOfferedLoadVersion, HostId{4}, 1, {}});
   EXPECT_EQ(ErrorOf(DecodeOfferedLoad(replace(load, load.size() - 1))).m_code, ErrorCode::kMessageMalformed);
-  const std::vector<std::byte> summary = EncodeLoadSummary({kLoadSummaryVersion, HostId{4}, "", 1, 1, {}, {}});
-  for (const std::size_t index : {std::size_t{6}, summary.size() - 2, summary.size() - 1}) {
+  const std::vector<std::byte> summary = EncodeLoadSummary({kLoadSummaryVersion, HostId{4}, "", 1, 1, false, {}, {}});
+  for (const std::size_t index : {std::size_t{6}, summary.size() - 3, summary.size() - 2, summary.size() - 1}) {
     EXPECT_EQ(ErrorOf(DecodeLoadSummary(replace(summary, index))).m_code, ErrorCode::kMessageMalformed) << index;
   }
   EXPECT_EQ(ErrorOf(DecodeOfferedLoad(std::vector<std::byte>(OfferedLoad::kMaxBytes + 1, std::byte{1}))).m_code,
@@ -92,9 +92,9 @@
   const OfferedRate rate{std::string(kMaxServiceNameBytes, 's'), 0xFFFFFFFF, OfferedRate::kMaxFlowsPerSecond};
   OfferedLoad load{kOfferedLoadVersion, HostId{0xFFFFFFFF}, ~std::uint64_t{0}, {kMaxOfferedRates, rate}};
   EXPECT_TRUE(IsOk(DecodeOfferedLoad(EncodeOfferedLoad(load))));
-  LoadSummary summary{kLoadSummaryVersion, HostId{4},  std::string(LoadSummary::kMaxDataCentreBytes, 'd'),
-                      ~std::uint64_t{0},   0xFFFFFFFF, {LoadSummary::kMaxLoads, CookieLoad{0xFFFFFFFF, 65535}},
-                      load.m_rates};
+  LoadSummary summary{
+      kLoadSummaryVersion, HostId{4}, std::string(LoadSummary::kMaxDataCentreBytes, 'd'),      ~std::uint64_t{0},
+      0xFFFFFFFF,          true,      {LoadSummary::kMaxLoads, CookieLoad{0xFFFFFFFF, 65535}}, load.m_rates};
   EXPECT_TRUE(IsOk(DecodeLoadSummary(EncodeLoadSummary(summary))));
 }
 
--- a/tests/load_view_test.cc
+++ b/tests/load_view_test.cc
@@ -198,7 +198,7 @@
  protected:
   SmallViewTest() { m_view.SetBalancers(MakePeers({{"a", 10}, {"b", 10}})); }
   static LoadSummary Summary(std::uint32_t from, std::uint64_t sequence, std::uint16_t flows) {
-    return {kLoadSummaryVersion, HostId{from}, "b", sequence, 10, {{7, flows}}, {{kService, 1, flows * 10.0}}};
+    return {kLoadSummaryVersion, HostId{from}, "b", sequence, 10, true, {{7, flows}}, {{kService, 1, flows * 10.0}}};
   }
   std::uint32_t FlowsAtSeven() { return m_view.RemoteFlows()[7]; }
 
@@ -221,6 +221,46 @@
   EXPECT_EQ(FlowsAtSeven(), 0U);
 }
 
+// Guards against flows that vanish from the view although nothing changed: by a summary without flows of a sender that
+// has room, which replaces those of a sender that is short of it, or which hides load reports.
+TEST_F(SmallViewTest, SummaryWithoutFlowsReplacesOnlyRates) {
+  LoadSummary without_flows = Summary(12, 1, 4);
+  without_flows.m_has_flows = false;
+  without_flows.m_loads.clear();
+  EXPECT_TRUE(m_view.Receive(m_now, LoadReport{HostId{13}, 1, {{7, 2}}}));
+  EXPECT_TRUE(m_view.Receive(m_now, OfferedLoad{kOfferedLoadVersion, HostId{13}, 1, {{kService, 1, 5}}}));
+  EXPECT_TRUE(m_view.Receive(m_now, without_flows));
+  EXPECT_EQ(FlowsAtSeven(), 2U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 40);
+  EXPECT_TRUE(m_view.Receive(m_now, Summary(11, 1, 3)));
+  EXPECT_EQ(FlowsAtSeven(), 3U);
+  ++without_flows.m_sequence;
+  EXPECT_TRUE(m_view.Receive(m_now + milliseconds(300), without_flows));
+  EXPECT_EQ(FlowsAtSeven(), 3U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 40);
+  EXPECT_TRUE(m_view.RemoveExpired(m_now + kLifetime + milliseconds(1)));
+  EXPECT_EQ(FlowsAtSeven(), 0U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_balancers, 10U);
+}
+
+// Guards against rates of a whole data centre that are replaced by those of a balancer that has heard of few others.
+TEST_F(SmallViewTest, RatesOfFewBalancersDoNotReplaceThoseOfMany) {
+  EXPECT_TRUE(m_view.Receive(m_now, Summary(11, 1, 3)));
+  LoadSummary of_few = Summary(12, 1, 1);
+  of_few.m_balancers = 4;
+  EXPECT_TRUE(m_view.Receive(m_now, of_few));
+  EXPECT_EQ(m_view.DemandOf(kService).m_balancers, 10U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 30);
+  LoadSummary of_half = Summary(13, 1, 2);
+  of_half.m_balancers = 5;
+  EXPECT_TRUE(m_view.Receive(m_now, of_half));
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 20);
+  EXPECT_TRUE(m_view.Receive(m_now, Summary(11, 2, 3)));
+  ++of_few.m_sequence;
+  EXPECT_TRUE(m_view.Receive(m_now + kLifetime + milliseconds(1), of_few));
+  EXPECT_EQ(m_view.DemandOf(kService).m_balancers, 4U);
+}
+
 // Guards against load that is counted twice: by a summary and by reports of the same data centre, which arrive together
 // while the number of balancers crosses the limit, or by a summary that repeats the load of other data centres.
 TEST_F(SmallViewTest, NothingIsCountedTwice) {
@@ -302,7 +342,7 @@
   balancer.ApplyState(testing_support::MakeState());
   for (std::uint32_t number = 1; number <= 2; ++number) balancer.AddTarget(testing_support::MakeTarget(number));
   const TargetId busy = testing_support::MakeTarget(1).m_id;
-  LoadSummary summary{kLoadSummaryVersion, HostId{50}, "b", 1, 10, {{CookieOf(busy), 5}}, {}};
+  LoadSummary summary{kLoadSummaryVersion, HostId{50}, "b", 1, 10, true, {{CookieOf(busy), 5}}, {}};
   balancer.Steering().Receive(balancer.Now(), summary);
   EXPECT_EQ(balancer.Steering().Targets().Find(busy)->m_remote_flows, 5U);
   EXPECT_NE(balancer.Open(1).m_target, busy);
@@ -311,5 +351,20 @@
   EXPECT_EQ(balancer.Steering().Targets().Find(busy)->m_remote_flows, 0U);
 }
 
+// Guards against load reports that are dropped between two of the ticks in which they expire.
+TEST(CookieSteeringLoadTest, LoadReportsExpireInTicks) {
+  testing_support::Balancer balancer;
+  balancer.ApplyState(testing_support::MakeState());
+  balancer.AddTarget(testing_support::MakeTarget(1));
+  const TargetId target = testing_support::MakeTarget(1).m_id;
+  balancer.Steering().Receive(balancer.Now(), LoadReport{HostId{2}, 1, {{CookieOf(target), 5}}});
+  balancer.Advance(milliseconds(601));
+  balancer.Steering().RefreshLoadCounts(balancer.Now());
+  (void)balancer.Steering().MakeSummary(balancer.Now());
+  EXPECT_EQ(balancer.Steering().Targets().Find(target)->m_remote_flows, 5U);
+  balancer.Steering().Tick(balancer.Now());
+  EXPECT_EQ(balancer.Steering().Targets().Find(target)->m_remote_flows, 0U);
+}
+
 }  // namespace
 }  // namespace fighatch
