Send each balancer exactly one summary for each interval

Cause: where data centres differ in size, a sender of a large one sent to a small one in each interval: 65, 65 and 1 balancers gave 406 summaries a second at the single one. Its own interval of 650 ms exceeded the lifetime of 600 ms. Change: senders of a data centre divide the recipients among themselves, shifted by one for each interval; the interval ends at least 100 ms before summaries expire. The test counts duplicates.

--- a/include/fighatch/load_view.h
+++ b/include/fighatch/load_view.h
@@ -42,6 +42,8 @@
   /// deployment.
   static constexpr Duration kReportIntervalPerRecipient = std::chrono::milliseconds(5);
   static constexpr Duration kMinReportInterval = std::chrono::milliseconds(20);
+  /// A summary is sent at least this long before the previous one of its data centre expires.
+  static constexpr Duration kSummaryMargin = std::chrono::milliseconds(100);
   /// Without shortage of room, offered rates and summaries are sent in one of so many intervals.
   static constexpr std::uint64_t kIntervalsPerExchange = 10;
   /// For this long after a shortage of room has ended, they are still sent in each interval.
@@ -87,9 +89,11 @@
 
   /// The balancers that get the summary which this one makes for an interval; empty while each balancer reports to all.
   /// All balancers of a data centre must number the intervals alike: then each balancer of another data centre gets one
-  /// summary for each interval, from another sender than in the interval before.
+  /// summary for each interval, from another sender than in the interval before if there are several.
   [[nodiscard]] std::vector<HostId> SummaryRecipients(std::uint64_t interval) const;
-  /// The interval between summaries, which is the same for all balancers of a data centre.
+  /// The interval between summaries, which is the same for all balancers of a data centre. It ends `kSummaryMargin`
+  /// before summaries expire, even if a data centre of few balancers then sends more often than
+  /// `kReportIntervalPerRecipient`.
   [[nodiscard]] Duration SummaryInterval() const;
 
   /// States whether any service is short of room.
--- a/src/steering/load_view.cc
+++ b/src/steering/load_view.cc
@@ -202,15 +202,11 @@
   const auto rank =
       static_cast<std::size_t>(std::lower_bound(senders.begin(), senders.end(), m_options.m_self) - senders.begin());
   const std::size_t step = std::max<std::size_t>(senders.size(), 1);
+  const std::size_t first = static_cast<std::size_t>((rank + interval) % step);
   std::vector<HostId> recipients;
   for (const auto& [data_centre, members] : m_members) {
     if (data_centre == m_options.m_data_centre) continue;
-    // A data centre with fewer balancers than the other sends it more than one summary each.
-    std::size_t index = rank;
-    do {
-      recipients.push_back(members[(index + interval) % members.size()]);
-      index += step;
-    } while (index < members.size());
+    for (std::size_t index = first; index < members.size(); index += step) recipients.push_back(members[index]);
   }
   return recipients;
 }
@@ -221,7 +217,9 @@
   for (const auto& [data_centre, members] : m_members) {
     if (data_centre != m_options.m_data_centre) recipients += (members.size() + senders - 1) / senders;
   }
-  return std::max(ReportInterval(), kReportIntervalPerRecipient * static_cast<std::int64_t>(recipients));
+  const Duration interval =
+      std::max(ReportInterval(), kReportIntervalPerRecipient * static_cast<std::int64_t>(recipients));
+  return std::min(interval, m_options.m_lifetime - kSummaryMargin);
 }
 
 void LoadView::SetShortOfRoom(TimePoint now, bool is_short) {
--- a/tests/load_view_test.cc
+++ b/tests/load_view_test.cc
@@ -174,22 +174,35 @@
   return peers;
 }
 
-// Guards against balancers that are left out of the summaries for several intervals where data centres differ in size.
+// Guards against balancers that get no summary for an interval, or several, where data centres differ in size, against
+// one that always gets them from the same sender, and against an interval after which summaries have expired.
 TEST(LoadViewTest, EachBalancerGetsASummaryForEachInterval) {
-  const std::vector<BalancerPeer> peers = MakePeers({{"a", 22}, {"b", 9}, {"c", 1}});
-  std::map<std::pair<std::string, HostId>, HostId> last;
-  for (std::uint64_t interval = 1000; interval < 1030; ++interval) {
-    std::map<std::pair<std::string, HostId>, HostId> senders;
+  const std::vector<std::vector<std::uint32_t>> all_sizes{
+      {22, 9, 1}, {65, 65, 1}, {65, 65, 4}, {65, 40, 40}, {200, 200, 1}};
+  for (const std::vector<std::uint32_t>& sizes : all_sizes) {
+    const std::vector<BalancerPeer> peers = MakePeers({{"a", sizes[0]}, {"b", sizes[1]}, {"c", sizes[2]}});
+    std::vector<LoadView> views;
     for (const BalancerPeer& peer : peers) {
-      LoadView view({peer.m_host, peer.m_data_centre});
-      view.SetBalancers(peers);
-      for (const HostId host : view.SummaryRecipients(interval)) senders[{peer.m_data_centre, host}] = peer.m_host;
+      views.push_back(LoadView({peer.m_host, peer.m_data_centre}));
+      views.back().SetBalancers(peers);
+      EXPECT_LT(views.back().SummaryInterval(), kLifetime) << peer.m_data_centre << " of " << sizes[0];
     }
-    EXPECT_EQ(senders.size(), 2 * peers.size());
-    if (!last.empty()) {
-      EXPECT_NE(senders.at({"a", HostId{23}}), last.at({"a", HostId{23}}));
+    std::map<std::pair<std::string, HostId>, HostId> last;
+    for (std::uint64_t interval = 1000; interval < 1030; ++interval) {
+      std::map<std::pair<std::string, HostId>, HostId> senders;
+      for (std::size_t sender = 0; sender < peers.size(); ++sender) {
+        for (const HostId host : views[sender].SummaryRecipients(interval)) {
+          const std::pair key{peers[sender].m_data_centre, host};
+          EXPECT_TRUE(senders.emplace(key, peers[sender].m_host).second) << "to " << host.m_value << " of " << sizes[0];
+        }
+      }
+      ASSERT_EQ(senders.size(), 2 * peers.size());
+      for (const auto& [key, sender] : last) {
+        const bool has_other_sender = key.first != "c" || sizes[2] > 1;
+        EXPECT_EQ(senders.at(key) != sender, has_other_sender);
+      }
+      last = senders;
     }
-    last = senders;
   }
 }
 
