Delay the first summary of load, and count and number summaries once

Cause: a balancer that had just started sent a summary before the others of its data centre had reported. A summary of another data centre than its sender's was taken. Received summaries counted when refused, sent ones when the send failed. The schedule of intervals was written in the daemon and again in the simulation. Change: LoadView::IsSummaryDue waits for an interval of reports since the list of balancers is known; Receive checks the data centre of a known sender; counters follow the results of Receive and Send; LoadView::IntervalAt is used by both.

--- a/fuzz/load_message_fuzz.cc
+++ b/fuzz/load_message_fuzz.cc
@@ -13,7 +13,7 @@
   if (const auto load = fighatch::DecodeOfferedLoad(bytes); fighatch::IsOk(load)) {
     const auto again = fighatch::DecodeOfferedLoad(EncodeOfferedLoad(fighatch::ValueOf(load)));
     if (!fighatch::IsOk(again) || !(fighatch::ValueOf(again) == fighatch::ValueOf(load))) __builtin_trap();
-    view.SetBalancers({{fighatch::HostId{1}, "a"}, {fighatch::ValueOf(load).m_from, "a"}});
+    view.SetBalancers(now, {{fighatch::HostId{1}, "a"}, {fighatch::ValueOf(load).m_from, "a"}});
     (void)view.Receive(now, fighatch::ValueOf(load));
   }
   if (const auto summary = fighatch::DecodeLoadSummary(bytes); fighatch::IsOk(summary)) {
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -100,10 +100,10 @@
   /// Merges a target record from a control host; true if it was newer than the known record.
   bool Merge(TimePoint now, const TargetObservation& observation);
   /// Takes what another balancer says of load; while the sender's last message has not expired, only a newer one is
-  /// accepted.
-  void Receive(TimePoint now, const LoadReport& report);
-  void Receive(TimePoint now, const OfferedLoad& load) { m_view.Receive(now, load); }
-  void Receive(TimePoint now, const LoadSummary& summary);
+  /// accepted. Returns true if it was taken.
+  bool Receive(TimePoint now, const LoadReport& report);
+  bool Receive(TimePoint now, const OfferedLoad& load) { return m_view.Receive(now, load); }
+  bool Receive(TimePoint now, const LoadSummary& summary);
   /// All balancers, this one included; they share the targets' capacity and the rate of new flows to cold targets.
   void SetBalancers(std::vector<HostId> balancers) { m_balancers = std::move(balancers); }
   void SetReportLag(Duration lag) { m_options.m_report_lag = lag; }
--- a/include/fighatch/load_view.h
+++ b/include/fighatch/load_view.h
@@ -52,17 +52,23 @@
   static constexpr std::size_t kMaxSenders = 1024;
   static constexpr std::size_t kMaxDataCentres = 64;
 
+  /// An interval between messages: its number, and the time until its end.
+  struct Interval {
+    std::uint64_t m_number = 0;
+    Duration m_left{};
+  };
+
   explicit LoadView(LoadViewOptions options) : m_options(std::move(options)) {}
 
-  /// All balancers, this one included.
-  void SetBalancers(const std::vector<BalancerPeer>& balancers);
+  /// All balancers, this one included. The time of the first list that is not empty counts as that of the start.
+  void SetBalancers(TimePoint now, const std::vector<BalancerPeer>& balancers);
 
   /// Each takes a message; while the sender's last message has not expired, only a newer one is taken. Returns true if
   /// it was taken.
   bool Receive(TimePoint now, const LoadReport& report);
   bool Receive(TimePoint now, const OfferedLoad& load);
-  /// A summary without flows replaces only rates. Rates of fewer than half as many balancers do not replace those that
-  /// are held.
+  /// A summary of a data centre other than the one known for its sender is refused. One without flows replaces only
+  /// rates. Rates of fewer than half as many balancers do not replace those that are held.
   bool Receive(TimePoint now, const LoadSummary& summary);
 
   /// Removes summaries and rates that have expired; true if the flows of other balancers have changed. Call it every
@@ -106,6 +112,16 @@
     return was_recently_short || interval % kIntervalsPerExchange == 0;
   }
 
+  /// True if the summary of an interval is sent at its end: as `IsExchangeDue`, but not before a report interval has
+  /// passed since the start, within which the other balancers of the data centre report.
+  [[nodiscard]] bool IsSummaryDue(TimePoint now, std::uint64_t interval) const;
+
+  /// The interval that a time of day lies in. All balancers of a data centre must number intervals alike, so the number
+  /// is derived from the time of day.
+  [[nodiscard]] static constexpr Interval IntervalAt(Duration time_of_day, Duration interval) noexcept {
+    return {static_cast<std::uint64_t>(time_of_day / interval), interval - time_of_day % interval};
+  }
+
  private:
   template <typename Message>
   struct Received {
@@ -147,6 +163,7 @@
 
   LoadViewOptions m_options;
   std::map<HostId, std::string> m_data_centre_of;
+  std::optional<TimePoint> m_started;
   // Balancers by data centre, in ascending order.
   std::map<std::string, std::vector<HostId>> m_members;
   BySender<LoadReport> m_reports;
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -119,19 +119,22 @@
   void ServeMessages();
   void HandleReply(TimePoint now, const SyncReply& reply);
   void PollControlHosts();
-  // Takes a load report, offered rates or a summary; logs a message that cannot be decoded.
+  // Takes a load report, offered rates or a summary; logs a message that cannot be decoded. True if it was taken.
   template <typename Message>
-  void TakeLoad(TimePoint now, const Result<Message>& message);
+  bool TakeLoad(TimePoint now, const Result<Message>& message);
   // Sends load reports and offered rates.
   void ReportLoad();
   // Sends the load of this data centre to the others.
   void SendSummaries();
-  void SendToBalancers(const std::vector<HostId>& hosts, MessageType type, const std::vector<std::byte>& payload);
+  // Returns the number of messages that were sent.
+  std::size_t SendToBalancers(const std::vector<HostId>& hosts, MessageType type,
+                              const std::vector<std::byte>& payload);
   void AwaitStop(StopSignal* stop);
   void Drain();
   void LogContactAndReadiness(TimePoint now);
   void AddMetrics();
-  void SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload);
+  // Returns true if the message was sent.
+  bool SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload);
 
   config::SteeringBalancerSettings m_settings;
   const PacketCodec* m_codec;
--- a/src/balancer/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -1,6 +1,7 @@
 // Messages of a balancer: to control hosts, whose state it follows, and to other balancers about load.
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <optional>
 #include <utility>
@@ -19,11 +20,6 @@
 constexpr milliseconds kFastPollInterval{100};
 constexpr milliseconds kRegularPollInterval{500};
 
-// Numbers an interval by the time of day, since all balancers of a data centre must number the intervals alike.
-std::uint64_t NumberOfInterval(Duration since_epoch, Duration interval) {
-  return static_cast<std::uint64_t>(since_epoch / interval);
-}
-
 Duration TimeSinceEpoch() { return std::chrono::system_clock::now().time_since_epoch(); }
 
 }  // namespace
@@ -41,17 +37,17 @@
       } else if (message.m_type == MessageType::kOfferedLoad) {
         TakeLoad(now, DecodeOfferedLoad(message.m_payload));
       } else if (message.m_type == MessageType::kLoadSummary) {
-        ++m_counters.m_summaries_received;
-        TakeLoad(now, DecodeLoadSummary(message.m_payload));
+        if (TakeLoad(now, DecodeLoadSummary(message.m_payload))) ++m_counters.m_summaries_received;
       }
     }
   }
 }
 
 template <typename Message>
-void SteeringBalancer::TakeLoad(TimePoint now, const Result<Message>& message) {
-  if (IsOk(message)) m_steering.Receive(now, ValueOf(message));
-  if (!IsOk(message)) LOG(WARNING) << "event=message_refused " << ToString(ErrorOf(message));
+bool SteeringBalancer::TakeLoad(TimePoint now, const Result<Message>& message) {
+  if (IsOk(message)) return m_steering.Receive(now, ValueOf(message));
+  LOG(WARNING) << "event=message_refused " << ToString(ErrorOf(message));
+  return false;
 }
 
 void SteeringBalancer::HandleReply(TimePoint now, const SyncReply& reply) {
@@ -74,7 +70,7 @@
   std::vector<HostId> balancers;
   for (const BalancerPeer& peer : m_sync_client.Balancers()) balancers.push_back(peer.m_host);
   m_steering.SetBalancers(std::move(balancers));
-  m_steering.View().SetBalancers(m_sync_client.Balancers());
+  m_steering.View().SetBalancers(now, m_sync_client.Balancers());
   LogContactAndReadiness(now);
 }
 
@@ -120,7 +116,7 @@
     }
     m_last_report_nonempty = !report.m_loads.empty();
     const bool was_short = m_steering.View().WasRecentlyShort(now);
-    if (LoadView::IsExchangeDue(NumberOfInterval(TimeSinceEpoch(), interval), was_short)) {
+    if (LoadView::IsExchangeDue(LoadView::IntervalAt(TimeSinceEpoch(), interval).m_number, was_short)) {
       const OfferedLoad load = m_steering.MakeOfferedLoad(now);
       const bool has_load = !load.m_rates.empty() || was_short;
       if (has_load) SendToBalancers(recipients, MessageType::kOfferedLoad, EncodeOfferedLoad(load));
@@ -133,35 +129,34 @@
 void SteeringBalancer::SendSummaries() {
   std::optional<std::uint64_t> last_number;
   while (!m_done) {
-    const Duration interval = m_steering.View().SummaryInterval();
-    const Duration started = TimeSinceEpoch();
-    const std::uint64_t number = NumberOfInterval(started, interval);
+    const auto [number, left] = LoadView::IntervalAt(TimeSinceEpoch(), m_steering.View().SummaryInterval());
     // At the end of an interval, when the messages of the same interval have arrived within the data centre.
-    boost::this_fiber::sleep_for(interval - started % interval);
+    boost::this_fiber::sleep_for(left);
     // A time of day that is slowed down can lag behind the sleep.
     if (m_done || number == last_number) continue;
     last_number = number;
     const TimePoint now = Now();
     const std::vector<HostId> recipients = m_steering.View().SummaryRecipients(number);
-    const bool was_short = m_steering.View().WasRecentlyShort(now);
-    if (recipients.empty() || !LoadView::IsExchangeDue(number, was_short)) continue;
+    if (recipients.empty() || !m_steering.View().IsSummaryDue(now, number)) continue;
     const LoadSummary summary = m_steering.MakeSummary(now);
-    if (summary.m_loads.empty() && summary.m_rates.empty() && !was_short) continue;
-    SendToBalancers(recipients, MessageType::kLoadSummary, EncodeLoadSummary(summary));
-    m_counters.m_summaries_sent += recipients.size();
+    if (!summary.m_has_flows && summary.m_rates.empty()) continue;
+    m_counters.m_summaries_sent += SendToBalancers(recipients, MessageType::kLoadSummary, EncodeLoadSummary(summary));
   }
 }
 
-void SteeringBalancer::SendToBalancers(const std::vector<HostId>& hosts, MessageType type,
-                                       const std::vector<std::byte>& payload) {
-  for (const HostId host : hosts) SendTo(host, m_settings.m_discovery.m_balancer_message_port, type, payload);
+std::size_t SteeringBalancer::SendToBalancers(const std::vector<HostId>& hosts, MessageType type,
+                                              const std::vector<std::byte>& payload) {
+  return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](HostId host) {
+    return SendTo(host, m_settings.m_discovery.m_balancer_message_port, type, payload);
+  }));
 }
 
-void SteeringBalancer::SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload) {
+bool SteeringBalancer::SendTo(HostId host, std::uint16_t port, MessageType type, std::span<const std::byte> payload) {
   const std::uint64_t bytes_before = m_message_socket->Counters().m_sent_bytes;
-  // A failed send is ignored: the next message of the same type replaces this one.
-  (void)m_message_socket->Send(EndpointOf(host, port), type, payload);
+  // A failed send is not repeated: the next message of the same type replaces this one.
+  const bool is_sent = IsOk(m_message_socket->Send(EndpointOf(host, port), type, payload));
   if (m_egress) m_egress->m_scheduler.Charge(Now(), m_message_socket->Counters().m_sent_bytes - bytes_before);
+  return is_sent;
 }
 
 }  // namespace fighatch::daemon
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -257,12 +257,16 @@
   }
 }
 
-void CookieSteering::Receive(TimePoint now, const LoadReport& report) {
-  if (m_view.Receive(now, report)) SumReports();
+bool CookieSteering::Receive(TimePoint now, const LoadReport& report) {
+  const bool is_taken = m_view.Receive(now, report);
+  if (is_taken) SumReports();
+  return is_taken;
 }
 
-void CookieSteering::Receive(TimePoint now, const LoadSummary& summary) {
-  if (m_view.Receive(now, summary)) SumReports();
+bool CookieSteering::Receive(TimePoint now, const LoadSummary& summary) {
+  const bool is_taken = m_view.Receive(now, summary);
+  if (is_taken) SumReports();
+  return is_taken;
 }
 
 void CookieSteering::SumReports() { m_targets.SetRemoteFlows(m_view.RemoteFlows()); }
--- a/src/steering/load_view.cc
+++ b/src/steering/load_view.cc
@@ -45,7 +45,8 @@
 
 }  // namespace
 
-void LoadView::SetBalancers(const std::vector<BalancerPeer>& balancers) {
+void LoadView::SetBalancers(TimePoint now, const std::vector<BalancerPeer>& balancers) {
+  if (!m_started && !balancers.empty()) m_started = now;
   m_data_centre_of.clear();
   for (const BalancerPeer& peer : balancers) m_data_centre_of[peer.m_host] = peer.m_data_centre;
   m_members.clear();
@@ -72,6 +73,11 @@
 bool LoadView::Receive(TimePoint now, const LoadSummary& summary) {
   // Balancers of this data centre report to each other directly.
   if (summary.m_from == m_options.m_self || summary.m_data_centre == m_options.m_data_centre) return false;
+  const std::string* known_data_centre = DataCentreOf(summary.m_from);
+  if (known_data_centre != nullptr &&
+      known_data_centre->compare(0, LoadSummary::kMaxDataCentreBytes, summary.m_data_centre) != 0) {
+    return false;
+  }
   const auto mark = m_summary_marks.find(summary.m_from);
   if (mark == m_summary_marks.end() && m_summary_marks.size() >= kMaxSenders) return false;
   if (mark != m_summary_marks.end() &&
@@ -229,4 +235,8 @@
 
 bool LoadView::WasRecentlyShort(TimePoint now) const { return m_is_short || (m_short_until && now < *m_short_until); }
 
+bool LoadView::IsSummaryDue(TimePoint now, std::uint64_t interval) const {
+  return m_started && now - *m_started >= ReportInterval() && IsExchangeDue(interval, WasRecentlyShort(now));
+}
+
 }  // namespace fighatch
--- a/tests/load_view_simulation.h
+++ b/tests/load_view_simulation.h
@@ -53,7 +53,7 @@
   /// Starts the process of a balancer anew.
   void Start(Site* site) {
     site->m_view = LoadView({site->m_peer.m_host, site->m_peer.m_data_centre});
-    site->m_view.SetBalancers(m_peers);
+    site->m_view.SetBalancers(m_now, m_peers);
     site->m_view.SetShortOfRoom(m_now, m_is_short);
     site->m_sequence = 0;
     const auto interval = static_cast<std::uint64_t>(site->m_view.ReportInterval() / kStep);
@@ -149,8 +149,7 @@
   [[nodiscard]] Duration TimeOfDay(const Site& site) const { return m_now.time_since_epoch() + site.m_clock_error; }
 
   [[nodiscard]] TimePoint EndOfInterval(const Site& site) const {
-    const Duration interval = site.m_view.SummaryInterval();
-    return TimePoint(interval * (TimeOfDay(site) / interval + 1)) - site.m_clock_error;
+    return m_now + LoadView::IntervalAt(TimeOfDay(site), site.m_view.SummaryInterval()).m_left;
   }
 
   [[nodiscard]] bool IsCut(const Site& site, HostId host) const {
@@ -178,7 +177,7 @@
     }
     site->m_last_report_nonempty = !report.m_loads.empty();
     site->m_next_report = m_now + interval;
-    const auto number = static_cast<std::uint64_t>(TimeOfDay(*site) / interval);
+    const std::uint64_t number = LoadView::IntervalAt(TimeOfDay(*site), interval).m_number;
     if (!LoadView::IsExchangeDue(number, site->m_view.WasRecentlyShort(m_now))) return;
     const OfferedLoad load{kOfferedLoadVersion, site->m_peer.m_host, site->m_sequence, site->m_rates};
     Send(*site, hosts, load);
@@ -186,11 +185,10 @@
   }
 
   void Summarise(Site* site) {
-    const auto ended = static_cast<std::uint64_t>(TimeOfDay(*site) / site->m_view.SummaryInterval()) - 1;
+    const std::uint64_t ended = LoadView::IntervalAt(TimeOfDay(*site), site->m_view.SummaryInterval()).m_number - 1;
     site->m_next_summary = EndOfInterval(*site);
     const std::vector<HostId> hosts = site->m_view.SummaryRecipients(ended);
-    if (!m_has_summaries || hosts.empty() || !LoadView::IsExchangeDue(ended, site->m_view.WasRecentlyShort(m_now)))
-      return;
+    if (!m_has_summaries || hosts.empty() || !site->m_view.IsSummaryDue(m_now, ended)) return;
     (void)site->m_view.RemoveExpired(m_now);
     const LoadSummary summary = site->m_view.MakeSummary(m_now, site->m_loads, site->m_rates);
     Send(*site, hosts, summary);
--- a/tests/load_view_test.cc
+++ b/tests/load_view_test.cc
@@ -184,7 +184,7 @@
     std::vector<LoadView> views;
     for (const BalancerPeer& peer : peers) {
       views.push_back(LoadView({peer.m_host, peer.m_data_centre}));
-      views.back().SetBalancers(peers);
+      views.back().SetBalancers({}, peers);
       EXPECT_LT(views.back().SummaryInterval(), kLifetime) << peer.m_data_centre << " of " << sizes[0];
     }
     std::map<std::pair<std::string, HostId>, HostId> last;
@@ -209,7 +209,7 @@
 // A view of balancer 1 in a deployment of 20 balancers, 10 in each of two data centres.
 class SmallViewTest : public testing::Test {
  protected:
-  SmallViewTest() { m_view.SetBalancers(MakePeers({{"a", 10}, {"b", 10}})); }
+  SmallViewTest() { m_view.SetBalancers(m_now, MakePeers({{"a", 10}, {"b", 10}})); }
   static LoadSummary Summary(std::uint32_t from, std::uint64_t sequence, std::uint16_t flows) {
     return {kLoadSummaryVersion, HostId{from}, "b", sequence, 10, true, {{7, flows}}, {{kService, 1, flows * 10.0}}};
   }
@@ -288,6 +288,10 @@
   LoadSummary of_own = Summary(2, 1, 50);
   of_own.m_data_centre = "a";
   EXPECT_FALSE(m_view.Receive(m_now, of_own));
+  LoadSummary of_other = Summary(13, 1, 50);
+  of_other.m_data_centre = "c";
+  EXPECT_FALSE(m_view.Receive(m_now, of_other)) << "balancer 13 is in data centre b";
+  EXPECT_EQ(FlowsAtSeven(), 7U);
   EXPECT_TRUE(m_view.MakeSummary(m_now, {{7, 2}}, {}).m_loads.empty());
   m_view.SetShortOfRoom(m_now, true);
   const LoadSummary summary = m_view.MakeSummary(m_now, {{7, 2}, {8, 1}}, {{kService, 1, 3}});
@@ -306,6 +310,18 @@
   }
 }
 
+// Guards against a summary of a balancer that has just started, which lacks the load of its data centre, and against a
+// list of balancers that arrives again and delays summaries each time.
+TEST_F(SmallViewTest, FirstSummaryWaitsForAReportInterval) {
+  m_view.SetShortOfRoom(m_now, true);
+  EXPECT_FALSE(m_view.IsSummaryDue(m_now + m_view.ReportInterval() - milliseconds(1), 7));
+  m_view.SetBalancers(m_now + milliseconds(20), MakePeers({{"a", 10}, {"b", 10}}));
+  EXPECT_TRUE(m_view.IsSummaryDue(m_now + m_view.ReportInterval(), 7));
+  LoadView alone({HostId{1}, "a"});
+  alone.SetBalancers(m_now, {});
+  EXPECT_FALSE(alone.IsSummaryDue(m_now + std::chrono::seconds(1), 10));
+}
+
 // Guards against an exchange that never stops after a shortage of room, or that stops at once.
 TEST_F(SmallViewTest, ExchangeFollowsTheShortage) {
   EXPECT_FALSE(m_view.WasRecentlyShort(m_now));
@@ -349,14 +365,16 @@
   EXPECT_TRUE(balancer.Steering().MakeOfferedLoad(balancer.Now()).m_rates.empty());
 }
 
-// Guards against summaries that do not count at the targets, and against flows that stay there after they expired.
+// Guards against summaries that do not count at the targets or count as received when they are refused, and against
+// flows that stay there after they expired.
 TEST(CookieSteeringLoadTest, FlowsOfSummariesCountAtTargetsUntilTheyExpire) {
   testing_support::Balancer balancer;
   balancer.ApplyState(testing_support::MakeState());
   for (std::uint32_t number = 1; number <= 2; ++number) balancer.AddTarget(testing_support::MakeTarget(number));
   const TargetId busy = testing_support::MakeTarget(1).m_id;
   LoadSummary summary{kLoadSummaryVersion, HostId{50}, "b", 1, 10, true, {{CookieOf(busy), 5}}, {}};
-  balancer.Steering().Receive(balancer.Now(), summary);
+  EXPECT_TRUE(balancer.Steering().Receive(balancer.Now(), summary));
+  EXPECT_FALSE(balancer.Steering().Receive(balancer.Now(), summary));
   EXPECT_EQ(balancer.Steering().Targets().Find(busy)->m_remote_flows, 5U);
   EXPECT_NE(balancer.Open(1).m_target, busy);
   balancer.Advance(milliseconds(601));
