--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -250,7 +250,7 @@
     const Duration load_timeout = flow->m_established ? m_options.m_load_timeout : m_options.m_opening_load_timeout;
     if (now - flow->m_last_packet > load_timeout) SetCountsAsLoad(flow, false);
   });
-  if (m_view.RemoveExpired(now)) SumReports();
+  if (m_view.RemoveExpiredSummaries(now)) SumReports();
   if (m_work) AverageRemoteFlows(now);
   ExchangeDemand(now);
 }
@@ -286,12 +286,16 @@
   }
 }
 
-void CookieSteering::Receive(TimePoint now, const LoadReport& report) {
-  if (m_view.Receive(now, report)) SumReports();
+bool CookieSteering::Receive(TimePoint now, const LoadReport& report) {
+  const bool is_taken = m_view.Receive(now, report);
+  if (is_taken) SumReports();
+  return is_taken;
 }
 
-void CookieSteering::Receive(TimePoint now, const LoadSummary& summary) {
-  if (m_view.Receive(now, summary)) SumReports();
+bool CookieSteering::Receive(TimePoint now, const LoadSummary& summary) {
+  const bool is_taken = m_view.Receive(now, summary);
+  if (is_taken) SumReports();
+  return is_taken;
 }
 
 void CookieSteering::SumReports() { m_targets.SetRemoteFlows(m_view.RemoteFlows()); }
@@ -320,7 +324,7 @@
 }
 
 LoadSummary CookieSteering::MakeSummary(TimePoint now) {
-  if (m_view.RemoveExpired(now)) SumReports();
+  if (m_view.RemoveExpiredSummaries(now)) SumReports();
   return m_view.MakeSummary(now, OwnLoads(), m_offered_rates.Rates(now));
 }
 
--- a/tests/load_view_test.cc
+++ b/tests/load_view_test.cc
@@ -174,31 +174,43 @@
   return peers;
 }
 
-// Guards against balancers that are left out of the summaries for several intervals where data centres differ in size.
+// Guards against balancers that get no summary for an interval, or several, where data centres differ in size, against
+// one that always gets them from the same sender, and against an interval after which summaries have expired.
 TEST(LoadViewTest, EachBalancerGetsASummaryForEachInterval) {
-  const std::vector<BalancerPeer> peers = MakePeers({{"a", 22}, {"b", 9}, {"c", 1}});
-  std::map<std::pair<std::string, HostId>, HostId> last;
-  for (std::uint64_t interval = 1000; interval < 1030; ++interval) {
-    std::map<std::pair<std::string, HostId>, HostId> senders;
+  const std::vector<std::vector<std::uint32_t>> all_sizes{
+      {22, 9, 1}, {65, 65, 1}, {65, 65, 4}, {65, 40, 40}, {200, 200, 1}};
+  for (const std::vector<std::uint32_t>& sizes : all_sizes) {
+    const std::vector<BalancerPeer> peers = MakePeers({{"a", sizes[0]}, {"b", sizes[1]}, {"c", sizes[2]}});
+    std::vector<LoadView> views;
     for (const BalancerPeer& peer : peers) {
-      LoadView view({peer.m_host, peer.m_data_centre});
-      view.SetBalancers(peers);
-      for (const HostId host : view.SummaryRecipients(interval)) senders[{peer.m_data_centre, host}] = peer.m_host;
+      views.push_back(LoadView({peer.m_host, peer.m_data_centre}));
+      views.back().SetBalancers({}, peers);
+      EXPECT_LT(views.back().SummaryInterval(), kLifetime) << peer.m_data_centre << " of " << sizes[0];
     }
-    EXPECT_EQ(senders.size(), 2 * peers.size());
-    if (!last.empty()) {
-      EXPECT_NE(senders.at({"a", HostId{23}}), last.at({"a", HostId{23}}));
+    std::map<std::pair<std::string, HostId>, HostId> last;
+    for (std::uint64_t interval = 1000; interval < 1030; ++interval) {
+      std::map<std::pair<std::string, HostId>, HostId> senders;
+      for (std::size_t sender = 0; sender < peers.size(); ++sender) {
+        for (const HostId host : views[sender].SummaryRecipients(interval)) {
+          const std::pair key{peers[sender].m_data_centre, host};
+          EXPECT_TRUE(senders.emplace(key, peers[sender].m_host).second) << "to " << host.m_value << " of " << sizes[0];
+        }
+      }
+      ASSERT_EQ(senders.size(), 2 * peers.size());
+      for (const auto& [key, sender] : last) {
+        EXPECT_EQ(senders.at(key) != sender, key.first != "c" || sizes[2] > 1);
+      }
+      last = senders;
     }
-    last = senders;
   }
 }
 
 // A view of balancer 1 in a deployment of 20 balancers, 10 in each of two data centres.
 class SmallViewTest : public testing::Test {
  protected:
-  SmallViewTest() { m_view.SetBalancers(MakePeers({{"a", 10}, {"b", 10}})); }
+  SmallViewTest() { m_view.SetBalancers(m_now, MakePeers({{"a", 10}, {"b", 10}})); }
   static LoadSummary Summary(std::uint32_t from, std::uint64_t sequence, std::uint16_t flows) {
-    return {kLoadSummaryVersion, HostId{from}, "b", sequence, 10, {{7, flows}}, {{kService, 1, flows * 10.0}}};
+    return {kLoadSummaryVersion, HostId{from}, "b", sequence, 10, true, {{7, flows}}, {{kService, 1, flows * 10.0}}};
   }
   std::uint32_t FlowsAtSeven() { return m_view.RemoteFlows()[7]; }
 
@@ -221,6 +233,46 @@
   EXPECT_EQ(FlowsAtSeven(), 0U);
 }
 
+// Guards against flows that vanish from the view although nothing changed: by a summary without flows of a sender that
+// has room, which replaces those of a sender that is short of it, or which hides load reports.
+TEST_F(SmallViewTest, SummaryWithoutFlowsReplacesOnlyRates) {
+  LoadSummary without_flows = Summary(12, 1, 4);
+  without_flows.m_has_flows = false;
+  without_flows.m_loads.clear();
+  EXPECT_TRUE(m_view.Receive(m_now, LoadReport{HostId{13}, 1, {{7, 2}}}));
+  EXPECT_TRUE(m_view.Receive(m_now, OfferedLoad{kOfferedLoadVersion, HostId{13}, 1, {{kService, 1, 5}}}));
+  EXPECT_TRUE(m_view.Receive(m_now, without_flows));
+  EXPECT_EQ(FlowsAtSeven(), 2U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 40);
+  EXPECT_TRUE(m_view.Receive(m_now, Summary(11, 1, 3)));
+  EXPECT_EQ(FlowsAtSeven(), 3U);
+  ++without_flows.m_sequence;
+  EXPECT_TRUE(m_view.Receive(m_now + milliseconds(300), without_flows));
+  EXPECT_EQ(FlowsAtSeven(), 3U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 40);
+  EXPECT_TRUE(m_view.RemoveExpired(m_now + kLifetime + milliseconds(1)));
+  EXPECT_EQ(FlowsAtSeven(), 0U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_balancers, 10U);
+}
+
+// Guards against rates of a whole data centre that are replaced by those of a balancer that has heard of few others.
+TEST_F(SmallViewTest, RatesOfFewBalancersDoNotReplaceThoseOfMany) {
+  EXPECT_TRUE(m_view.Receive(m_now, Summary(11, 1, 3)));
+  LoadSummary of_few = Summary(12, 1, 1);
+  of_few.m_balancers = 4;
+  EXPECT_TRUE(m_view.Receive(m_now, of_few));
+  EXPECT_EQ(m_view.DemandOf(kService).m_balancers, 10U);
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 30);
+  LoadSummary of_half = Summary(13, 1, 2);
+  of_half.m_balancers = 5;
+  EXPECT_TRUE(m_view.Receive(m_now, of_half));
+  EXPECT_EQ(m_view.DemandOf(kService).m_flows_per_second.at(1), 20);
+  EXPECT_TRUE(m_view.Receive(m_now, Summary(11, 2, 3)));
+  ++of_few.m_sequence;
+  EXPECT_TRUE(m_view.Receive(m_now + kLifetime + milliseconds(1), of_few));
+  EXPECT_EQ(m_view.DemandOf(kService).m_balancers, 4U);
+}
+
 // Guards against load that is counted twice: by a summary and by reports of the same data centre, which arrive together
 // while the number of balancers crosses the limit, or by a summary that repeats the load of other data centres.
 TEST_F(SmallViewTest, NothingIsCountedTwice) {
@@ -235,6 +287,10 @@
   LoadSummary of_own = Summary(2, 1, 50);
   of_own.m_data_centre = "a";
   EXPECT_FALSE(m_view.Receive(m_now, of_own));
+  LoadSummary of_other = Summary(13, 1, 50);
+  of_other.m_data_centre = "c";
+  EXPECT_FALSE(m_view.Receive(m_now, of_other)) << "balancer 13 is in data centre b";
+  EXPECT_EQ(FlowsAtSeven(), 7U);
   EXPECT_TRUE(m_view.MakeSummary(m_now, {{7, 2}}, {}).m_loads.empty());
   m_view.SetShortOfRoom(m_now, true);
   const LoadSummary summary = m_view.MakeSummary(m_now, {{7, 2}, {8, 1}}, {{kService, 1, 3}});
@@ -253,6 +309,18 @@
   }
 }
 
+// Guards against a summary of a balancer that has just started, which lacks the load of its data centre, and against a
+// list of balancers that arrives again and delays summaries each time.
+TEST_F(SmallViewTest, FirstSummaryWaitsForAReportInterval) {
+  m_view.SetShortOfRoom(m_now, true);
+  EXPECT_FALSE(m_view.IsSummaryDue(m_now + m_view.ReportInterval() - milliseconds(1), 7));
+  m_view.SetBalancers(m_now + milliseconds(20), MakePeers({{"a", 10}, {"b", 10}}));
+  EXPECT_TRUE(m_view.IsSummaryDue(m_now + m_view.ReportInterval(), 7));
+  LoadView alone({HostId{1}, "a"});
+  alone.SetBalancers(m_now, {});
+  EXPECT_FALSE(alone.IsSummaryDue(m_now + std::chrono::seconds(1), 10));
+}
+
 // Guards against an exchange that never stops after a shortage of room, or that stops at once.
 TEST_F(SmallViewTest, ExchangeFollowsTheShortage) {
   EXPECT_FALSE(m_view.WasRecentlyShort(m_now));
@@ -296,14 +364,16 @@
   EXPECT_TRUE(balancer.Steering().MakeOfferedLoad(balancer.Now()).m_rates.empty());
 }
 
-// Guards against summaries that do not count at the targets, and against flows that stay there after they expired.
+// Guards against summaries that do not count at the targets or count as received when they are refused, and against
+// flows that stay there after they expired.
 TEST(CookieSteeringLoadTest, FlowsOfSummariesCountAtTargetsUntilTheyExpire) {
   testing_support::Balancer balancer;
   balancer.ApplyState(testing_support::MakeState());
   for (std::uint32_t number = 1; number <= 2; ++number) balancer.AddTarget(testing_support::MakeTarget(number));
   const TargetId busy = testing_support::MakeTarget(1).m_id;
-  LoadSummary summary{kLoadSummaryVersion, HostId{50}, "b", 1, 10, {{CookieOf(busy), 5}}, {}};
-  balancer.Steering().Receive(balancer.Now(), summary);
+  LoadSummary summary{kLoadSummaryVersion, HostId{50}, "b", 1, 10, true, {{CookieOf(busy), 5}}, {}};
+  EXPECT_TRUE(balancer.Steering().Receive(balancer.Now(), summary));
+  EXPECT_FALSE(balancer.Steering().Receive(balancer.Now(), summary));
   EXPECT_EQ(balancer.Steering().Targets().Find(busy)->m_remote_flows, 5U);
   EXPECT_NE(balancer.Open(1).m_target, busy);
   balancer.Advance(milliseconds(601));
@@ -311,5 +381,20 @@
   EXPECT_EQ(balancer.Steering().Targets().Find(busy)->m_remote_flows, 0U);
 }
 
+// Guards against load reports that are dropped between two of the ticks in which they expire.
+TEST(CookieSteeringLoadTest, LoadReportsExpireInTicks) {
+  testing_support::Balancer balancer;
+  balancer.ApplyState(testing_support::MakeState());
+  balancer.AddTarget(testing_support::MakeTarget(1));
+  const TargetId target = testing_support::MakeTarget(1).m_id;
+  balancer.Steering().Receive(balancer.Now(), LoadReport{HostId{2}, 1, {{CookieOf(target), 5}}});
+  balancer.Advance(milliseconds(601));
+  balancer.Steering().RefreshLoadCounts(balancer.Now());
+  (void)balancer.Steering().MakeSummary(balancer.Now());
+  EXPECT_EQ(balancer.Steering().Targets().Find(target)->m_remote_flows, 5U);
+  balancer.Steering().Tick(balancer.Now());
+  EXPECT_EQ(balancer.Steering().Targets().Find(target)->m_remote_flows, 0U);
+}
+
 }  // namespace
 }  // namespace fighatch
