Name things by the usual terms, and learn slot times from warm targets only

Cause: a read of the whole change by someone new stopped at names with two meanings, comments that contradicted their constants and one comparison written twice. Change: names, comments and glossary terms; slot times come from warm targets, and are at least a quarter of a flow's time instead of half.

--- a/include/fighatch/cookie_packet.h
+++ b/include/fighatch/cookie_packet.h
@@ -37,6 +37,11 @@
   std::uint32_t m_data_bytes = 0;
 };
 
+/// True if `sequence` comes after `other`, in numbers that wrap around.
+[[nodiscard]] inline bool IsSequenceAfter(std::uint32_t sequence, std::uint32_t other) noexcept {
+  return static_cast<std::int32_t>(sequence - other) > 0;
+}
+
 }  // namespace fighatch
 
 /// Hashes both endpoints of a flow.
--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -140,7 +140,7 @@
     m_shares.SetDemand(now, service, demand);
   }
   /// True while a service is offered more than its targets can serve, see `PriorityShares`.
-  [[nodiscard]] bool IsShortOfRoom(const std::string& service) const { return m_shares.IsShort(service); }
+  [[nodiscard]] bool IsShortOfRoom(const std::string& service) const { return m_shares.IsShortOfRoom(service); }
   /// Takes the packets to services that are short of room from the queue, and returns those that may be placed now and
   /// those that cannot be answered in time. The others are put back.
   [[nodiscard]] std::vector<ReleasedPacket> ReleaseSharedPackets(TimePoint now, AdmissionQueue* queue);
@@ -203,9 +203,9 @@
   // Processes the packets to one address, in the order of service.
   void ReleaseInTurns(TimePoint now, const Route& route, AdmissionQueue* queue, std::vector<ReleasedPacket>* released);
   // The first service of a route that is short of room; null if none is.
-  [[nodiscard]] const std::string* ShortServiceOf(const Route& route) const;
+  [[nodiscard]] const std::string* ServiceShortOfRoom(const Route& route) const;
   // Passes the demand that other balancers have reported on to the shares, and tells the view of shortages.
-  void ExchangeDemand(TimePoint now);
+  void UpdateDemand(TimePoint now);
   // Computes the room of all services with several priorities, at most once in a short interval.
   void RefreshRoom(TimePoint now);
   // Requests per second that a service's open targets can serve.
@@ -260,7 +260,7 @@
   // are counted: rates matter where one priority gives way to another.
   void CountOffered(TimePoint now, const CookiePacket& packet);
   [[nodiscard]] std::vector<CookieLoad> OwnLoads() const;
-  void SumReports();
+  void UpdateRemoteFlows();
 
   SteeringOptions m_options;
   std::unique_ptr<ChoiceStrategy> m_choice;
--- a/include/fighatch/egress_scheduler.h
+++ b/include/fighatch/egress_scheduler.h
@@ -38,8 +38,8 @@
   kDuplicate = 0,
   /// The queue has reached its limit.
   kQueueFull = 1,
-  /// The client sent nothing for `EgressScheduler::kMaxSilence`, or the flow was reset or replaced.
-  kFlowSilent = 2,
+  /// The client sent nothing for `EgressScheduler::kFlowIdleTimeout`, or the flow was reset or replaced.
+  kFlowRemoved = 2,
   /// A short packet has waited for longer than `EgressScheduler::kMaxShortWait`.
   kTooLate = 3,
 };
@@ -100,9 +100,9 @@
   /// Datagrams that do not wait, such as resets, delay the others by at most this much.
   static constexpr Duration kMaxChargedDelay = std::chrono::milliseconds(150);
   /// A flow that is silent for this long gives up its queue. Clients retransmit after 1,600 ms at the latest.
-  static constexpr Duration kMaxSilence = std::chrono::seconds(2);
+  static constexpr Duration kFlowIdleTimeout = std::chrono::seconds(2);
   /// A flow that is silent for this long is not expected to send more than what is queued, until its next packet.
-  static constexpr Duration kMaxExpectation = std::chrono::milliseconds(500);
+  static constexpr Duration kExpectationTimeout = std::chrono::milliseconds(500);
   static constexpr std::size_t kMaxQueuedPackets = 4096;
   static constexpr std::size_t kMaxQueuedBytes = std::size_t{2} << 20;
   /// Beyond `kMaxFlows` a new flow replaces the least recently active one if that one has nothing queued; otherwise its
@@ -140,11 +140,12 @@
   /// Drops what is known and queued of a flow that was reset.
   void Forget(TimePoint now, const FlowEndpoints& endpoints);
 
-  /// Drops flows that have been silent for `kMaxSilence`, and gives up what is expected of those that have been silent
-  /// for `kMaxExpectation`; `Offer` and `Take` do so too.
+  /// Drops flows that have been silent for `kFlowIdleTimeout`, and gives up what is expected of those that have been
+  /// silent for `kExpectationTimeout`; `Offer` and `Take` do so too.
   void RemoveSilentFlows(TimePoint now);
 
-  /// True if packets of a flow with these endpoints were offered within `kMaxSilence`, and no closing one among them.
+  /// True if packets of a flow with these endpoints were offered within `kFlowIdleTimeout`, and no closing one among
+  /// them.
   [[nodiscard]] bool IsOpen(const FlowEndpoints& endpoints) const;
 
   [[nodiscard]] BulkDemand DemandOf(const Endpoint& service) const;
@@ -281,7 +282,7 @@
   // Drops the short packets that have waited for longer than `kMaxShortWait`.
   void DropLateShort(TimePoint now);
   // True if short packets use more of the queue than bulk data leaves to them.
-  [[nodiscard]] bool ShortExceedsItsPart() const;
+  [[nodiscard]] bool ShortPacketsExceedTheirPart() const;
   void DropExcess(TimePoint now);
   void CountDrop(EgressDropReason reason, std::size_t bytes);
   // Removes a short packet from the queue and counts it as dropped.
@@ -301,7 +302,7 @@
   // When the link has sent all that it was given.
   TimePoint m_link_free_at;
   std::map<Endpoint, Service> m_services;
-  // Sorted by last packet, the most recent one last. Flows without a packet for `kMaxExpectation` are in
+  // Sorted by last packet, the most recent one last. Flows without a packet for `kExpectationTimeout` are in
   // `m_silent_flows`.
   std::list<Flow> m_flows;
   std::list<Flow> m_silent_flows;
--- a/include/fighatch/load_view.h
+++ b/include/fighatch/load_view.h
@@ -37,7 +37,7 @@
 class LoadView {
  public:
   /// With more balancers than this, each reports within its data centre only.
-  static constexpr std::size_t kMaxRecipientsAcrossDataCentres = 16;
+  static constexpr std::size_t kMaxBalancersForDirectReports = 16;
   /// Interval between messages of one kind for each recipient, so that a host's message rate does not grow with the
   /// deployment.
   static constexpr Duration kReportIntervalPerRecipient = std::chrono::milliseconds(5);
@@ -46,7 +46,7 @@
   static constexpr Duration kSummaryMargin = std::chrono::milliseconds(100);
   /// Without shortage of room, offered rates and summaries are sent in one of so many intervals.
   static constexpr std::uint64_t kIntervalsPerExchange = 10;
-  /// For this long after a shortage of room has ended, they are still sent in each interval.
+  /// For this long after a shortage of room has ended, offered rates and summaries are still sent in each interval.
   static constexpr Duration kShortagePeriod = std::chrono::seconds(2);
   /// Limits on what is held; messages of further senders or data centres are ignored until others have expired.
   static constexpr std::size_t kMaxSenders = 1024;
@@ -73,7 +73,7 @@
 
   /// Removes summaries and rates that have expired; true if the flows of other balancers have changed. Call it every
   /// few tens of milliseconds.
-  bool RemoveExpiredSummaries(TimePoint now);
+  bool RemoveExpiredSummariesAndRates(TimePoint now);
   /// Removes all that has expired, load reports included; true if the flows of other balancers have changed.
   bool RemoveExpired(TimePoint now);
 
@@ -138,7 +138,7 @@
     std::vector<OfferedRate> m_rates;
   };
   // When the last summary of a sender arrived, and its sequence.
-  struct SummaryMark {
+  struct LastSummary {
     TimePoint m_received;
     std::uint64_t m_sequence = 0;
   };
@@ -171,7 +171,7 @@
   // Flows and rates of each other data centre, which may come from different summaries.
   ByDataCentre<std::vector<CookieLoad>> m_summed_flows;
   ByDataCentre<SummedRates> m_summed_rates;
-  std::map<HostId, SummaryMark> m_summary_marks;
+  std::map<HostId, LastSummary> m_summary_marks;
   std::uint64_t m_sequence = 0;
   bool m_is_short = false;
   std::optional<TimePoint> m_short_until;
--- a/include/fighatch/priority_shares.h
+++ b/include/fighatch/priority_shares.h
@@ -83,7 +83,7 @@
   [[nodiscard]] Duration TimeUntilToken(TimePoint now, const std::string& service, std::uint32_t priority,
                                         std::size_t ahead);
 
-  [[nodiscard]] bool IsShort(const std::string& service) const;
+  [[nodiscard]] bool IsShortOfRoom(const std::string& service) const;
   /// The rate that all balancers are offered as a fraction of the room; 0 if the room is not known.
   [[nodiscard]] double Utilisation(const std::string& service) const;
   /// The room that was set last; null if the service is not tracked.
--- a/include/fighatch/ticket_check.h
+++ b/include/fighatch/ticket_check.h
@@ -94,8 +94,8 @@
   void CheckSafety(Findings* findings) const;
   // Checks of one service of the ticket whose findings are warnings.
   void FindUnmatchableAddresses(std::size_t index, Findings* findings) const;
-  void FindHiddenPrefixes(std::size_t index, Findings* findings) const;
-  void FindHiddenService(std::size_t index, Findings* findings) const;
+  void FindShadowedPrefixes(std::size_t index, Findings* findings) const;
+  void FindUnreachableService(std::size_t index, Findings* findings) const;
   void FindUnmatchablePaths(std::size_t index, Findings* findings) const;
   void FindRepeatedWeights(std::size_t index, Findings* findings) const;
   void FindWeightsWithoutTargets(std::size_t index, Findings* findings) const;
--- a/include/fighatch/work_estimator.h
+++ b/include/fighatch/work_estimator.h
@@ -19,7 +19,7 @@
   /// Time at the target in milliseconds, without the network. The request must not have queued there.
   double m_time_ms = 0;
   /// Time in milliseconds for which the request counted as load.
-  double m_counted_ms = 0;
+  double m_load_time_ms = 0;
 };
 
 /// Learns how much work requests of each route cost and how fast each target is. Work is measured in milliseconds at a
@@ -57,18 +57,20 @@
   /// Mean work of a new request in milliseconds.
   [[nodiscard]] double MeanWorkMs(std::uint32_t route) const { return m_routes[route].m_work.MeanMs(); }
   /// Mean remaining work in milliseconds of a running request whose age is not known.
-  [[nodiscard]] double ResidualWorkMs(std::uint32_t route) const { return m_routes[route].m_work.MeanResidualMs(); }
+  [[nodiscard]] double RemainingWorkAtUnknownAgeMs(std::uint32_t route) const {
+    return m_routes[route].m_work.MeanRemainingAtUnknownAgeMs();
+  }
   /// Mean remaining work in milliseconds of a request that has had `done_ms` of work and whose end was not seen.
   [[nodiscard]] double RemainingWorkMs(std::uint32_t route, double done_ms) const;
   /// Mean time in milliseconds for which a request counts as load.
-  [[nodiscard]] double CountedTimeMs(std::uint32_t route) const { return m_routes[route].m_counted_ms; }
+  [[nodiscard]] double LoadTimeMs(std::uint32_t route) const { return m_routes[route].m_load_time_ms; }
 
  private:
   struct RouteWork {
     WorkHistogram m_work;
     // Moving average of the logarithm of the time at the target, over all targets.
     double m_mean_log = 0;
-    double m_counted_ms = 0;
+    double m_load_time_ms = 0;
     // Share of the requests whose end is only inferred later.
     double m_unseen_ends = 0;
     bool m_has_new_samples = false;
--- a/include/fighatch/work_histogram.h
+++ b/include/fighatch/work_histogram.h
@@ -27,7 +27,7 @@
   /// Mean work in milliseconds; 0 without samples.
   [[nodiscard]] double MeanMs() const noexcept { return m_mean_above_ms[0]; }
   /// Mean remaining work in milliseconds of a running request whose age is not known.
-  [[nodiscard]] double MeanResidualMs() const noexcept { return m_residual_ms; }
+  [[nodiscard]] double MeanRemainingAtUnknownAgeMs() const noexcept { return m_residual_ms; }
   /// Mean remaining work in milliseconds of a request that has had `done_ms` of work.
   [[nodiscard]] double MeanRemainingMs(double done_ms) const;
   /// Share of the requests with more work than `done_ms`, from 0 to 1.
--- a/src/balancer/steering_balancer_shares.cc
+++ b/src/balancer/steering_balancer_shares.cc
@@ -1,4 +1,4 @@
-// What a balancer tells about rate shares: log lines and metrics.
+// Log lines and metrics of rate shares.
 #include <glog/logging.h>
 
 #include "balancer/steering_balancer.h"
--- a/src/config/steering_balancer_settings.cc
+++ b/src/config/steering_balancer_settings.cc
@@ -46,7 +46,7 @@
   reader.OptionalNumber("link_mbps", 0, kMaxLinkMbps, &settings.m_link_mbps);
   ReadPlacement(reader, &settings.m_placement);
   if (settings.m_link_mbps > 0 && settings.m_link_mbps < kMinLinkMbps) {
-    reader.Fail(ErrorCode::kSettingsOutOfRange, "link_mbps", "between 0 and 0.01");
+    reader.Fail(ErrorCode::kSettingsOutOfRange, "link_mbps", "neither 0 nor at least 0.01");
   }
   const Status status = reader.Finish();
   if (!IsOk(status)) return ErrorOf(status);
--- a/src/state/ticket_check_warnings.cc
+++ b/src/state/ticket_check_warnings.cc
@@ -68,8 +68,8 @@
   }
   for (std::size_t index = 0; index < m_ticket.m_services.size(); ++index) {
     FindUnmatchableAddresses(index, &findings);
-    FindHiddenPrefixes(index, &findings);
-    FindHiddenService(index, &findings);
+    FindShadowedPrefixes(index, &findings);
+    FindUnreachableService(index, &findings);
     FindUnmatchablePaths(index, &findings);
     FindRepeatedWeights(index, &findings);
     FindWeightsWithoutTargets(index, &findings);
@@ -91,7 +91,7 @@
   }
 }
 
-void TicketCheck::FindHiddenPrefixes(std::size_t index, Findings* findings) const {
+void TicketCheck::FindShadowedPrefixes(std::size_t index, Findings* findings) const {
   const std::vector<AdmissionRule>& rules = m_ticket.m_services[index].m_admission;
   for (std::size_t inner = 0; inner < rules.size(); ++inner) {
     for (std::size_t outer = 0; outer < rules.size(); ++outer) {
@@ -105,7 +105,7 @@
   }
 }
 
-void TicketCheck::FindHiddenService(std::size_t index, Findings* findings) const {
+void TicketCheck::FindUnreachableService(std::size_t index, Findings* findings) const {
   const Service& service = m_ticket.m_services[index];
   const std::string path = PathOfService(index) + ".addresses";
   if (service.m_addresses.empty()) {
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -148,7 +148,7 @@
   const std::optional<TimePoint> objective_deadline = ObjectiveDeadline(route->second, first_sent);
   const double flows_per_slot =
       objective_deadline && now >= *objective_deadline ? kReleaseFlowsPerSlot : kFullFlowsPerSlot;
-  if (m_shares.IsShort(service)) {
+  if (m_shares.IsShortOfRoom(service)) {
     const ShareRequest request{&route->second, &service, first_sent, source, was_placed};
     const std::optional<SteeringDecision> decision = ApplyShares(now, request, unreported_flows, &candidates);
     if (decision) return *decision;
@@ -250,9 +250,9 @@
     const Duration load_timeout = flow->m_established ? m_options.m_load_timeout : m_options.m_opening_load_timeout;
     if (now - flow->m_last_packet > load_timeout) SetCountsAsLoad(flow, false);
   });
-  if (m_view.RemoveExpiredSummaries(now)) SumReports();
+  if (m_view.RemoveExpiredSummariesAndRates(now)) UpdateRemoteFlows();
   if (m_work) AverageRemoteFlows(now);
-  ExchangeDemand(now);
+  UpdateDemand(now);
 }
 
 void CookieSteering::RecordFlowEnd(TimePoint now, const PlacedFlow& flow, bool completed) {
@@ -269,7 +269,8 @@
   AddSample(&service_mean, sample);
   if (target->m_processing_ms <= 0) target->m_processing_ms = service_mean;
   AddSample(&target->m_processing_ms, sample);
-  LearnSlotTime(target->m_record.m_service, flow, now - flow.m_placed);
+  // A cold target takes longer than it will once it is warm.
+  if (flow.m_placed >= target->m_cold_until) LearnSlotTime(target->m_record.m_service, flow, now - flow.m_placed);
 }
 
 void CookieSteering::CountOffered(TimePoint now, const CookiePacket& packet) {
@@ -288,21 +289,21 @@
 
 bool CookieSteering::Receive(TimePoint now, const LoadReport& report) {
   const bool is_taken = m_view.Receive(now, report);
-  if (is_taken) SumReports();
+  if (is_taken) UpdateRemoteFlows();
   return is_taken;
 }
 
 bool CookieSteering::Receive(TimePoint now, const LoadSummary& summary) {
   const bool is_taken = m_view.Receive(now, summary);
-  if (is_taken) SumReports();
+  if (is_taken) UpdateRemoteFlows();
   return is_taken;
 }
 
-void CookieSteering::SumReports() { m_targets.SetRemoteFlows(m_view.RemoteFlows()); }
+void CookieSteering::UpdateRemoteFlows() { m_targets.SetRemoteFlows(m_view.RemoteFlows()); }
 
 void CookieSteering::Tick(TimePoint now) {
   for (const PlacedFlow& flow : m_flows.RemoveIdle(now, m_options.m_idle_timeout)) RecordFlowEnd(now, flow, false);
-  if (m_view.RemoveExpired(now)) SumReports();
+  if (m_view.RemoveExpired(now)) UpdateRemoteFlows();
   m_targets.RemoveExpired(now);
   if (m_work) RefreshWork(now);
 }
@@ -324,7 +325,7 @@
 }
 
 LoadSummary CookieSteering::MakeSummary(TimePoint now) {
-  if (m_view.RemoveExpiredSummaries(now)) SumReports();
+  if (m_view.RemoveExpiredSummariesAndRates(now)) UpdateRemoteFlows();
   return m_view.MakeSummary(now, OwnLoads(), m_offered_rates.Rates(now));
 }
 
--- a/src/steering/cookie_steering_shares.cc
+++ b/src/steering/cookie_steering_shares.cc
@@ -14,17 +14,18 @@
 // Interval at which the room of services is computed.
 constexpr milliseconds kRoomInterval{100};
 // While a service is short of room, a target takes at most this many flows per slot, so that its queue never fills up.
-constexpr double kShortFlowsPerSlot = 2;
-// With that many flows per slot, queueing takes at most this part of the time that a flow spends at a target.
-constexpr double kMaxQueueingFactor = kShortFlowsPerSlot;
+constexpr double kMaxFlowsPerSlotInShortage = 2;
+// A request takes at least the time of its flow divided by this. Before a shortage is noticed, targets hold more flows
+// per slot than during it.
+constexpr double kMaxFlowTimePerSlotTime = 2 * kMaxFlowsPerSlotInShortage;
 // The time of requests is learned while a service is offered less than this part of its room: queues are short then.
 constexpr double kMaxLearningUtilisation = 0.5;
 // The first samples count in any case.
 constexpr std::uint32_t kMinSlotTimeSamples = 10;
 // The mean covers about this number of samples.
 constexpr std::uint32_t kMaxSlotTimeSamples = 50;
-// At least this part of a flow's time is taken as the time of its request, whatever the opening exchange took.
-constexpr double kMaxPathFactor = 4;
+// The same bound for a sample, whatever the opening exchange took.
+constexpr double kMaxFlowTimePerSample = 4;
 
 SteeringDecision MakeDecision(SteeringAction action) {
   SteeringDecision decision;
@@ -53,8 +54,9 @@
   hold.m_priority = route.m_priority;
   hold.m_objective_deadline = ObjectiveDeadline(route, request.m_first_sent);
   hold.m_candidates = static_cast<std::uint32_t>(candidates->size());
-  std::erase_if(*candidates,
-                [&](const SteeringTarget* target) { return IsFull(*target, unreported_flows, kShortFlowsPerSlot); });
+  std::erase_if(*candidates, [&](const SteeringTarget* target) {
+    return IsFull(*target, unreported_flows, kMaxFlowsPerSlotInShortage);
+  });
   // Packets that wait have had their turn already when one arrives.
   const bool must_wait = request.m_source == PacketSource::kArrived && m_waiting_addresses.contains(route.m_address);
   const bool may_place = !candidates->empty() && !must_wait &&
@@ -70,7 +72,7 @@
   m_waiting_addresses.clear();
   std::vector<const Route*> routes;
   for (const auto& [address, route] : m_state.m_routing.m_routes) {
-    if (ShortServiceOf(route) != nullptr) routes.push_back(&route);
+    if (ServiceShortOfRoom(route) != nullptr) routes.push_back(&route);
   }
   std::stable_sort(routes.begin(), routes.end(),
                    [](const Route* left, const Route* right) { return left->m_priority < right->m_priority; });
@@ -80,7 +82,7 @@
 
 void CookieSteering::ReleaseInTurns(TimePoint now, const Route& route, AdmissionQueue* queue,
                                     std::vector<ReleasedPacket>* released) {
-  const std::string service = *ShortServiceOf(route);
+  const std::string service = *ServiceShortOfRoom(route);
   const Duration request_time = m_shares.Room(service)->m_request_time;
   std::size_t ahead = 0;
   for (WaitingPacket& packet : queue->TakeInTurns(route.m_address, now + request_time)) {
@@ -110,12 +112,12 @@
 std::set<Endpoint> CookieSteering::AddressesShortOfRoom() const {
   std::set<Endpoint> addresses;
   for (const auto& [address, route] : m_state.m_routing.m_routes) {
-    if (ShortServiceOf(route) != nullptr) addresses.insert(address);
+    if (ServiceShortOfRoom(route) != nullptr) addresses.insert(address);
   }
   return addresses;
 }
 
-const std::string* CookieSteering::ShortServiceOf(const Route& route) const {
+const std::string* CookieSteering::ServiceShortOfRoom(const Route& route) const {
   const auto found = std::find_if(route.m_services.begin(), route.m_services.end(),
                                   [this](const WeightedService& service) { return IsShortOfRoom(service.m_service); });
   return found == route.m_services.end() ? nullptr : &found->m_service;
@@ -146,13 +148,13 @@
   m_shares.Retain(services);
 }
 
-void CookieSteering::ExchangeDemand(TimePoint now) {
+void CookieSteering::UpdateDemand(TimePoint now) {
   bool is_short = false;
   for (const std::string& service : m_shares.Services()) {
     const ServiceDemand demand = m_view.DemandOf(service);
     // Without a report the demand of the others is not 0 but unknown.
     if (demand.m_balancers > 0) m_shares.SetDemand(now, service, demand);
-    is_short |= m_shares.IsShort(service);
+    is_short |= m_shares.IsShortOfRoom(service);
   }
   m_view.SetShortOfRoom(now, is_short);
 }
@@ -178,7 +180,7 @@
   if (mean == m_service_processing_ms.end()) return 0;
   const auto slot_time = m_slot_times.find(service);
   if (slot_time == m_slot_times.end() || slot_time->second.m_samples == 0) return mean->second;
-  return std::max(std::min(mean->second, slot_time->second.m_mean_ms), mean->second / kMaxQueueingFactor);
+  return std::max(std::min(mean->second, slot_time->second.m_mean_ms), mean->second / kMaxFlowTimePerSlotTime);
 }
 
 void CookieSteering::LearnSlotTime(const std::string& service, const PlacedFlow& flow, Duration duration) {
@@ -191,7 +193,7 @@
   const double sample = Milliseconds(duration);
   slot_time.m_samples = std::min(slot_time.m_samples + 1, kMaxSlotTimeSamples);
   slot_time.m_mean_ms +=
-      (std::max(sample - path_ms, sample / kMaxPathFactor) - slot_time.m_mean_ms) / slot_time.m_samples;
+      (std::max(sample - path_ms, sample / kMaxFlowTimePerSample) - slot_time.m_mean_ms) / slot_time.m_samples;
 }
 
 }  // namespace fighatch
--- a/src/steering/cookie_steering_work.cc
+++ b/src/steering/cookie_steering_work.cc
@@ -17,8 +17,6 @@
 // Time over which the flows of other balancers at a target are averaged.
 constexpr milliseconds kRemoteFlowsPeriod{500};
 
-bool IsAfter(std::uint32_t sequence, std::uint32_t other) { return static_cast<std::int32_t>(sequence - other) > 0; }
-
 bool ContinuesRequest(TimePoint now, const PlacedFlow& flow) {
   return flow.m_in_request && now - flow.m_last_data <= flow.m_opened_after * 2 + kMinRequestPause;
 }
@@ -31,7 +29,7 @@
   if (packet.m_closing) return;
   if (packet.m_data_bytes > 0) {
     // A retransmission begins no request.
-    if (flow->m_requests > 0 && !IsAfter(packet.m_sequence, flow->m_last_sequence)) return;
+    if (flow->m_requests > 0 && !IsSequenceAfter(packet.m_sequence, flow->m_last_sequence)) return;
     if (ContinuesRequest(now, *flow)) {
       DelayRequest(flow, target, now - flow->m_last_data);
     } else {
@@ -81,7 +79,7 @@
   WorkSample sample;
   sample.m_route = flow.m_request.m_route;
   sample.m_time_ms = Milliseconds(now - flow.m_last_data - flow.m_opened_after);
-  sample.m_counted_ms = Milliseconds(now - (flow.m_requests == 1 ? flow.m_placed : flow.m_request.m_started));
+  sample.m_load_time_ms = Milliseconds(now - (flow.m_requests == 1 ? flow.m_placed : flow.m_request.m_started));
   m_work->AddSample(now, sample, &target->m_speed);
   ++m_work_samples;
 }
--- a/src/steering/egress_scheduler.cc
+++ b/src/steering/egress_scheduler.cc
@@ -152,7 +152,7 @@
     if (front.m_flow_id == 0) return;
     const Flow* flow = Find(front.m_endpoints);
     if (flow != nullptr && flow->m_id == front.m_flow_id) return;
-    DropShort(now, m_short.begin(), EgressDropReason::kFlowSilent);
+    DropShort(now, m_short.begin(), EgressDropReason::kFlowRemoved);
   }
 }
 
@@ -162,7 +162,7 @@
   }
 }
 
-bool EgressScheduler::ShortExceedsItsPart() const {
+bool EgressScheduler::ShortPacketsExceedTheirPart() const {
   constexpr double kShortPart = 1 - kGuaranteedShare;
   return static_cast<double>(m_short.size()) > kShortPart * kMaxQueuedPackets ||
          static_cast<double>(m_short_bytes) > kShortPart * kMaxQueuedBytes;
@@ -170,7 +170,7 @@
 
 void EgressScheduler::DropExcess(TimePoint now) {
   while (m_queued_packets > kMaxQueuedPackets || m_queued_bytes > kMaxQueuedBytes) {
-    if (ShortExceedsItsPart()) {
+    if (ShortPacketsExceedTheirPart()) {
       DropShort(now, std::prev(m_short.end()), EgressDropReason::kQueueFull);
       continue;
     }
--- a/src/steering/egress_scheduler_flows.cc
+++ b/src/steering/egress_scheduler_flows.cc
@@ -9,11 +9,6 @@
 // Weight of a new sample in the exponential moving average of the bytes that a service's flows send.
 constexpr double kSizeSampleWeight = 0.1;
 
-// True if `sequence` comes after `highest`, in numbers that wrap around.
-bool IsAfter(std::uint32_t sequence, std::uint32_t highest) {
-  return static_cast<std::int32_t>(sequence - highest) > 0;
-}
-
 }  // namespace
 
 EgressScheduler::Flow* EgressScheduler::Find(const FlowEndpoints& endpoints) {
@@ -85,7 +80,8 @@
 }
 
 bool EgressScheduler::HasNewData(const CookiePacket& packet, const Flow& flow) {
-  return packet.m_data_bytes > 0 && (!flow.m_highest_sequence || IsAfter(packet.m_sequence, *flow.m_highest_sequence));
+  return packet.m_data_bytes > 0 &&
+         (!flow.m_highest_sequence || IsSequenceAfter(packet.m_sequence, *flow.m_highest_sequence));
 }
 
 void EgressScheduler::BeginRequestIfAnswered(TimePoint now, const CookiePacket& packet, Flow* flow) {
@@ -211,7 +207,7 @@
 
 void EgressScheduler::RemoveFlow(TimePoint now, Flow* flow) {
   for (const QueuedPacket& packet : flow->m_bulk) {
-    CountBulkDrop(now, packet, EgressDropReason::kFlowSilent);
+    CountBulkDrop(now, packet, EgressDropReason::kFlowRemoved);
   }
   RemoveFromOrder(flow);
   if (flow->m_service != nullptr) {
@@ -231,8 +227,8 @@
   const auto is_silent_for = [now](const std::list<Flow>& flows, Duration span) {
     return !flows.empty() && now - flows.front().m_last_packet > span;
   };
-  while (is_silent_for(m_flows, kMaxExpectation)) SetSilent(now, true, m_flows.begin());
-  while (is_silent_for(m_silent_flows, kMaxSilence)) RemoveFlow(now, &m_silent_flows.front());
+  while (is_silent_for(m_flows, kExpectationTimeout)) SetSilent(now, true, m_flows.begin());
+  while (is_silent_for(m_silent_flows, kFlowIdleTimeout)) RemoveFlow(now, &m_silent_flows.front());
 }
 
 bool EgressScheduler::IsOpen(const FlowEndpoints& endpoints) const {
--- a/src/steering/load_view.cc
+++ b/src/steering/load_view.cc
@@ -99,7 +99,7 @@
   return true;
 }
 
-bool LoadView::RemoveExpiredSummaries(TimePoint now) {
+bool LoadView::RemoveExpiredSummariesAndRates(TimePoint now) {
   const auto is_expired = [&](const auto& entry) { return IsExpired(now, entry.second.m_received); };
   std::erase_if(m_offered, is_expired);
   std::erase_if(m_summary_marks, is_expired);
@@ -108,7 +108,7 @@
 }
 
 bool LoadView::RemoveExpired(TimePoint now) {
-  const bool flows_changed = RemoveExpiredSummaries(now);
+  const bool flows_changed = RemoveExpiredSummariesAndRates(now);
   const auto is_expired = [&](const auto& entry) { return IsExpired(now, entry.second.m_received); };
   return std::erase_if(m_reports, is_expired) > 0 || flows_changed;
 }
@@ -188,7 +188,7 @@
 }
 
 std::vector<HostId> LoadView::ReportRecipients() const {
-  const bool all_data_centres = m_data_centre_of.size() <= kMaxRecipientsAcrossDataCentres;
+  const bool all_data_centres = m_data_centre_of.size() <= kMaxBalancersForDirectReports;
   std::vector<HostId> recipients;
   for (const auto& [host, data_centre] : m_data_centre_of) {
     const bool in_scope = all_data_centres || data_centre == m_options.m_data_centre;
@@ -203,7 +203,7 @@
 }
 
 std::vector<HostId> LoadView::SummaryRecipients(std::uint64_t interval) const {
-  if (m_data_centre_of.size() <= kMaxRecipientsAcrossDataCentres) return {};
+  if (m_data_centre_of.size() <= kMaxBalancersForDirectReports) return {};
   const std::vector<HostId>& senders = LocalBalancers();
   const auto rank =
       static_cast<std::size_t>(std::lower_bound(senders.begin(), senders.end(), m_options.m_self) - senders.begin());
--- a/src/steering/priority_shares.cc
+++ b/src/steering/priority_shares.cc
@@ -186,7 +186,7 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-bool PriorityShares::IsShort(const std::string& service) const {
+bool PriorityShares::IsShortOfRoom(const std::string& service) const {
   const ServiceState* state = Find(service);
   return state != nullptr && state->m_is_short;
 }
--- a/src/steering/target_choice.cc
+++ b/src/steering/target_choice.cc
@@ -22,19 +22,19 @@
 constexpr double kColdFactor = 1.6;
 // Fraction of the processing time, divided by the number of slots, that each flow at a target adds even if a slot is
 // free: the known number of flows may be outdated.
-constexpr double kFlowCost = 0.15;
+constexpr double kExpectedTimeFlowPenalty = 0.15;
 // Weight of flows that other balancers reported: about half of them have ended by the time of the choice.
 constexpr double kReportedFlowWeight = 0.5;
 // Fraction of the mean work, divided by the square root of the number of slots, that each flow at a target adds even if
 // a slot seems free: counts may be outdated and announced slots wrong.
-constexpr double kFlowUncertainty = 0.18;
+constexpr double kRemainingWorkFlowPenalty = 0.18;
 // Fraction of the mean work by which a balancer prefers some targets to others, so that two balancers seldom choose the
 // same idle target at once.
-constexpr double kPreference = 0.35;
-// Width of the random part of expected times, as a multiple of the mean work: `kSpread` times the square of the flows
-// that other balancers place for each slot between two reports, up to `kMaxSpread`.
-constexpr double kSpread = 0.05;
-constexpr double kMaxSpread = 2;
+constexpr double kMaxTieBreak = 0.35;
+// Width of the random part of expected times, as a multiple of the mean work: `kNoiseScale` times the square of the
+// flows that other balancers place for each slot between two reports, up to `kMaxNoiseScale`.
+constexpr double kNoiseScale = 0.05;
+constexpr double kMaxNoiseScale = 2;
 // Each consecutive unanswered opening packet counts as this many additional flows at the target.
 constexpr std::uint32_t kFlowsPerUnanswered = 2;
 
@@ -161,20 +161,20 @@
   double m_mean_ms = 0;
   double m_residual_ms = 0;
   // Time for which a request counts as load.
-  double m_counted_ms = 0;
+  double m_load_time_ms = 0;
   // Share of the reported flows that have not ended since.
-  double m_still_valid = 0;
+  double m_unended_fraction = 0;
   // Share of the time that a request counts as load for which it is at the target.
-  double m_at_work = 0;
+  double m_fraction_at_target = 0;
 };
 
 RouteEstimate MakeRouteEstimate(const ChoiceContext& context) {
   RouteEstimate route;
   route.m_mean_ms = context.m_work->MeanWorkMs(context.m_route);
-  route.m_residual_ms = context.m_work->ResidualWorkMs(context.m_route);
-  route.m_counted_ms = std::max(context.m_work->CountedTimeMs(context.m_route), 1.0);
-  route.m_still_valid = std::exp(-Milliseconds(context.m_report_lag) / route.m_counted_ms);
-  route.m_at_work = std::min(1.0, route.m_mean_ms / route.m_counted_ms);
+  route.m_residual_ms = context.m_work->RemainingWorkAtUnknownAgeMs(context.m_route);
+  route.m_load_time_ms = std::max(context.m_work->LoadTimeMs(context.m_route), 1.0);
+  route.m_unended_fraction = std::exp(-Milliseconds(context.m_report_lag) / route.m_load_time_ms);
+  route.m_fraction_at_target = std::min(1.0, route.m_mean_ms / route.m_load_time_ms);
   return route;
 }
 
@@ -182,8 +182,8 @@
 // the reported number tends towards its average; and a flow counts as load while its packets travel, too.
 double OtherRequests(const ChoiceContext& context, const RouteEstimate& route, const SteeringTarget& target) {
   const double reported =
-      target.m_mean_remote_flows + route.m_still_valid * (target.m_remote_flows - target.m_mean_remote_flows);
-  return route.m_at_work * std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered +
+      target.m_mean_remote_flows + route.m_unended_fraction * (target.m_remote_flows - target.m_mean_remote_flows);
+  return route.m_fraction_at_target * std::max(reported, 0.0) + target.m_unanswered * kFlowsPerUnanswered +
          context.m_unreported_flows;
 }
 
@@ -214,7 +214,7 @@
   const double remote_penalty_ms =
       target.m_record.m_data_centre == context.m_data_centre ? 0 : kRemoteDataCentrePenaltyMs;
   const double slots = SlotsOf(target);
-  const double uncertainty = kFlowUncertainty * (target.m_open_flows + others) / std::sqrt(slots);
+  const double uncertainty = kRemainingWorkFlowPenalty * (target.m_open_flows + others) / std::sqrt(slots);
   return (start_ms + route.m_mean_ms * (1 + uncertainty)) * factor + remote_penalty_ms;
 }
 
@@ -229,8 +229,8 @@
     flows += target->m_mean_remote_flows;
     slots += SlotsOf(*target);
   }
-  const double placed = flows / slots * Milliseconds(context.m_report_lag) / route.m_counted_ms;
-  return route.m_mean_ms * std::min(kMaxSpread, kSpread * placed * placed);
+  const double placed = flows / slots * Milliseconds(context.m_report_lag) / route.m_load_time_ms;
+  return route.m_mean_ms * std::min(kMaxNoiseScale, kNoiseScale * placed * placed);
 }
 
 class RemainingWorkChoice : public ChoiceStrategy {
@@ -249,9 +249,9 @@
     const double spread_ms = RandomSpreadMs(context, route, drawn);
     return LowestCostTarget(context.m_balancer, drawn, [&](const SteeringTarget& target) {
       const double factor = TimeFactor(context, target);
-      const double preference_ms = kPreference * route.m_mean_ms * Rank(context, target);
+      const double preference_ms = kMaxTieBreak * route.m_mean_ms * Rank(context, target);
       const double cost_ms = FinishTimeMs(context, route, target, factor) + preference_ms;
-      return spread_ms > 0 ? cost_ms - spread_ms * RandomBonus(SlotsOf(target) / factor) : cost_ms;
+      return spread_ms > 0 ? cost_ms - spread_ms * GumbelNoise(SlotsOf(target) / factor) : cost_ms;
     });
   }
 
@@ -263,7 +263,7 @@
   }
 
   // With this bonus (Gumbel distribution) alone, targets are chosen in proportion to their capacity.
-  [[nodiscard]] double RandomBonus(double capacity) {
+  [[nodiscard]] double GumbelNoise(double capacity) {
     return std::log(capacity / -std::log(std::max(m_random.NextDouble(), kLowestDraw)));
   }
 
@@ -290,7 +290,7 @@
   const double flows = target.m_open_flows + kReportedFlowWeight * target.m_remote_flows +
                        target.m_unanswered * kFlowsPerUnanswered + context.m_unreported_flows;
   const double slots = std::max<std::uint32_t>(target.m_record.m_slots, 1);
-  const double load_factor = std::max(1.0, (flows + 1) / slots) + kFlowCost * flows / slots;
+  const double load_factor = std::max(1.0, (flows + 1) / slots) + kExpectedTimeFlowPenalty * flows / slots;
   const double remote_penalty_ms =
       target.m_record.m_data_centre == context.m_data_centre ? 0 : kRemoteDataCentrePenaltyMs;
   return processing_ms * load_factor + remote_penalty_ms;
--- a/src/steering/work_estimator.cc
+++ b/src/steering/work_estimator.cc
@@ -46,7 +46,7 @@
   route.m_has_new_samples = true;
   const double log_time = std::log(time_ms);
   AddToMean(&route.m_mean_log, log_time, route.m_work.Samples());
-  AddToMean(&route.m_counted_ms, sample.m_counted_ms, route.m_work.Samples());
+  AddToMean(&route.m_load_time_ms, sample.m_load_time_ms, route.m_work.Samples());
   if (!HasEstimate(sample.m_route)) return;
 
   const double log_ratio = std::clamp(log_time - route.m_mean_log, -kMaxLogRatio, kMaxLogRatio);
--- a/tests/egress_flows_test.cc
+++ b/tests/egress_flows_test.cc
@@ -50,12 +50,12 @@
   QueueBulk(1, 20);
   QueueBulk(2, 20);
   m_scheduler.Forget(m_now, OpeningPacket(1).m_endpoints);
-  EXPECT_EQ(Dropped(EgressDropReason::kFlowSilent), 20U);
-  m_now += EgressScheduler::kMaxSilence + milliseconds(1);
+  EXPECT_EQ(Dropped(EgressDropReason::kFlowRemoved), 20U);
+  m_now += EgressScheduler::kFlowIdleTimeout + milliseconds(1);
   while (m_scheduler.Take(m_now)) {
   }
   EXPECT_TRUE(m_scheduler.IsEmpty());
-  EXPECT_GE(Dropped(EgressDropReason::kFlowSilent), 40U);
+  EXPECT_GE(Dropped(EgressDropReason::kFlowRemoved), 40U);
 }
 
 // Guards against refusals because of bytes that nobody is going to send: of flows that routers moved here, and of
--- a/tests/egress_scheduler_test.cc
+++ b/tests/egress_scheduler_test.cc
@@ -219,7 +219,7 @@
   const auto accounted = [&] {
     const EgressCounters& counters = m_scheduler.Counters();
     const std::uint64_t dropped = Dropped(EgressDropReason::kDuplicate) + Dropped(EgressDropReason::kQueueFull) +
-                                  Dropped(EgressDropReason::kFlowSilent) + Dropped(EgressDropReason::kTooLate);
+                                  Dropped(EgressDropReason::kFlowRemoved) + Dropped(EgressDropReason::kTooLate);
     return counters.m_sent + dropped + m_scheduler.QueuedPackets();
   };
   for (int step = 0; step < 2000; ++step) {
@@ -237,7 +237,7 @@
     if (kind % 2 == 0) (void)m_scheduler.Take(m_now);
     RC_ASSERT(accounted() == offered);
   }
-  m_now += EgressScheduler::kMaxSilence + milliseconds(1);
+  m_now += EgressScheduler::kFlowIdleTimeout + milliseconds(1);
   while (m_scheduler.Take(m_now)) m_now += milliseconds(10);
   RC_ASSERT(m_scheduler.IsEmpty() && m_scheduler.QueuedBytes() == 0U && accounted() == offered);
   RC_ASSERT(m_scheduler.OpenBulkFlows() == 0U);
--- a/tests/priority_shares_test.cc
+++ b/tests/priority_shares_test.cc
@@ -63,7 +63,7 @@
 // Guards against a balancer that takes more or less than an equal share while it knows nothing of the others.
 TEST_F(PrioritySharesTest, WithoutReportsTheShareIsEqual) {
   Offer(20, 40, milliseconds(1500));
-  EXPECT_TRUE(m_shares.IsShort(kService));
+  EXPECT_TRUE(m_shares.IsShortOfRoom(kService));
   EXPECT_DOUBLE_EQ(m_shares.ShareRate(kService), kRoom / kBalancers);
 }
 
@@ -119,9 +119,9 @@
   Offer(200, 400, milliseconds(1000));
   EXPECT_EQ(m_shares.TakeChanges().size(), 1U);
   SetRoom({kHigh, kLow}, kObjective);
-  EXPECT_FALSE(m_shares.IsShort(kService));
+  EXPECT_FALSE(m_shares.IsShortOfRoom(kService));
   SetRoom({kLow}, milliseconds(60));
-  EXPECT_FALSE(m_shares.IsShort(kService));
+  EXPECT_FALSE(m_shares.IsShortOfRoom(kService));
   EXPECT_TRUE(m_shares.TakeToken(m_now, kService, kLow));
   EXPECT_EQ(m_shares.TakeChanges().size(), 1U);
 }
--- a/tests/steering_simulation.h
+++ b/tests/steering_simulation.h
@@ -61,7 +61,7 @@
   // Time until control hosts have published that a data centre is down or back.
   static constexpr milliseconds kControlDelay{1000};
   static constexpr std::uint32_t kOrdinaryClients = 200;
-  static constexpr std::size_t kMaxRecipientsAcrossDataCentres = 16;
+  static constexpr std::size_t kMaxBalancersForDirectReports = 16;
   static constexpr std::uint32_t kSlots = 2;
   static constexpr milliseconds kColdPeriod{2000};
   static constexpr std::size_t kQueueCapacity = 8;
@@ -378,7 +378,7 @@
   }
 
   void Deliver(std::uint32_t index, const LoadReport& report) {
-    const bool to_all = m_pattern.m_balancers <= kMaxRecipientsAcrossDataCentres;
+    const bool to_all = m_pattern.m_balancers <= kMaxBalancersForDirectReports;
     for (std::uint32_t other = 0; other < m_pattern.m_balancers; ++other) {
       const bool is_recipient = to_all || DataCentreOf(m_pattern, other) == DataCentreOf(m_pattern, index);
       if (is_recipient && other != index && !IsDown(other)) m_balancers[other]->Receive(m_now, report);
