--- a/review/2/play.py
+++ b/review/2/play.py
@@ -41,6 +41,8 @@
 
     if small.TROUBLE:
         replace_two(system, operator)
+    else:
+        time.sleep(small.CATCHUP_S + 1.0 + 2 * CALM_S)
 
     status, acknowledged_by = system.put_config(operator, small.document(7))
     if status != 200:
