--- a/review/lib/packets.py
+++ b/review/lib/packets.py
@@ -136,8 +136,7 @@
 
 
 class Client:
-    """A client address whose flows go through the given balancers; `reset_by_system` counts the resets on open flows
-    that no server sent."""
+    """A client address whose flows go through the given balancers."""
 
     def __init__(self, system, address, balancers):
         self.system, self.address, self.balancers = system, address, balancers
@@ -154,7 +153,8 @@
 
 
 class Flow:
-    """A flow of a client. One at a time for each client."""
+    """A flow of a client, which runs one at a time. `reset_by` is the checksum of the reset that ended it: 0 if it came
+    from the system."""
 
     def __init__(self, client, port, route_port):
         self.client, self.port, self.route_port = client, port, route_port
--- a/review/lib/small_system.py
+++ b/review/lib/small_system.py
@@ -198,8 +198,8 @@
         return status, text, address
 
     def order(self, addresses, method, path, body=None, limit_s=15.0, timeout_s=1.0):
-        """Sends an order again, to another daemon each time, until it is answered clearly; returns the status and who
-        answered, or (0, None) if the time is up."""
+        """Sends an order again, to another daemon each time, until it is answered clearly. Returns the status, the body
+        and who answered; status 0 if the time is up."""
         deadline, pause_s, turn = time.monotonic() + limit_s, 0.05, 0
         while time.monotonic() < deadline:
             status, text, answered = self.call(addresses[turn % len(addresses)], method, path, body, timeout_s)
