review: no process is started once a case has ended

Cause: a thread of a trial that restarts processes could start one after the end of the run; case 3 has such a thread.

Change: the small deployment refuses a start while it closes.

--- a/review/lib/small_system.py
+++ b/review/lib/small_system.py
@@ -99,6 +99,8 @@
 
     def start(self, bootstrap=False):
         system = self.system
+        if system.is_closed:  # A thread of a case may still want to restart it.
+            return
         fields = {
             "Ip": self.address, "Zone": self.zone, "Seeds": system.seeds, "Bootstrap": bootstrap,
             "InternalPortRange": [system.ports["control"], system.ports["balancer"]],
@@ -147,6 +149,7 @@
 
     def __init__(self, case_folder, controls=3, balancers=0):
         self.record = Record(pathlib.Path(case_folder))
+        self.is_closed = False
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="fighatch-review-"))
         self.network = random.randrange(32, 250)
         names = ("http", "control", "balancer", "packets", "ready")
@@ -166,6 +169,8 @@
         return daemon
 
     def close(self):
+        self.is_closed = True
+        time.sleep(0.1)
         for daemon in self.daemons:
             if daemon.is_running():
                 daemon.process.send_signal(signal.SIGCONT)
