Remove silent voters from odd groups, announced stops and promotions first

Cause: a silent voter was removed only from an even group. With two new hosts beside three founders, the two stopped ones stayed voters of a group of five, so that all three running hosts were needed for a majority.

Related paths with the same cause: a host that had announced nothing counted for 2 s after its planned stop; a new leader forgot which voters were silent; a group of three removed the silent voter before its successor voted; a learner that had ended could be promoted.

Ruled out: removal from a group of three, and removal below 2f + 1 voters for f tolerated lost disks. If the removed voters are only cut off, the group could then not come back after the disks that it has to outlast.

--- a/include/fighatch/forward.h
+++ b/include/fighatch/forward.h
@@ -185,6 +185,7 @@
 class StateMachine;
 struct StatePeer;
 class StateReceiver;
+struct StopNotice;
 struct StopRequested;
 class StorageDirectory;
 struct StoredLog;
--- a/include/fighatch/raft_message.h
+++ b/include/fighatch/raft_message.h
@@ -241,6 +241,20 @@
   void serialize(Archive& /*archive*/) {}
 };
 
+/// Tells the leader that the sender's process is about to end. The leader treats it like a silent voter at once.
+struct StopNotice {
+  /// The voters that were silent when the sender handed over its leadership, since the new leader has not observed them
+  /// for long enough; empty if the sender did not lead.
+  std::vector<RaftPeer> m_silent;
+
+  friend bool operator==(const StopNotice&, const StopNotice&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_silent);
+  }
+};
+
 /// A message between control hosts.
 struct RaftMessage {
   RaftPeer m_from;
@@ -249,7 +263,7 @@
   /// The sender's term; the next term in a pre-vote request, 0 in a `JoinRequest`.
   Term m_term = 0;
   std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, JoinRequest,
-               TimeoutNow>
+               TimeoutNow, StopNotice>
       m_body;
 
   friend bool operator==(const RaftMessage&, const RaftMessage&) = default;
--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -51,6 +51,9 @@
   /// With open admission: a voter that has not acknowledged a request for this long may be removed or replaced by
   /// another host.
   Duration m_replace_silent_after = std::chrono::milliseconds(2000);
+  /// With open admission: how many voters may lose their disks at a time. No removal of silent voters that may come
+  /// back leaves fewer voters than outlast that.
+  std::size_t m_tolerated_lost_disks = 1;
 };
 
 /// The effects of the inputs since the last `TakeOutput`. The caller must carry them out in this order: persist
@@ -102,6 +105,10 @@
   /// Proposals are refused until it has taken over or one election timeout has passed.
   void TransferLeadership(TimePoint now);
 
+  /// Announces that this process is about to end: hands over leadership if this host has it, and from then on tells
+  /// each leader, which may remove this host. The host asks to join again only after a restart.
+  void AnnounceStop(TimePoint now);
+
   /// Starts a read barrier on the leader and returns its id. The id appears in `RaftOutput::m_passed_read_barriers`
   /// when the barrier has passed, and never if leadership is lost first. Errors: `kTicketNotLeader`.
   [[nodiscard]] Result<std::uint64_t> StartReadBarrier(TimePoint now);
@@ -154,6 +161,8 @@
     // When the latest request that the member has replied to was sent, by the leader's clock; before the first reply,
     // when the member was added here.
     TimePoint m_last_acked_send_time;
+    // Set by a `StopNotice`: until then the member counts as silent, although it may still reply.
+    TimePoint m_noted_silent_until;
     // The snapshot being sent, and the offset of its next chunk.
     std::shared_ptr<const RaftSnapshot> m_snapshot;
     std::uint64_t m_offset = 0;
@@ -182,6 +191,7 @@
   void Handle(const RaftMessage& message, const SnapshotReply& reply);
   void Handle(const RaftMessage& message, const JoinRequest& request);
   void Handle(const RaftMessage& message, const TimeoutNow& request);
+  void Handle(const RaftMessage& message, const StopNotice& notice);
 
   // Elections (raft_election.cc).
   void BecomeFollower(Term term, std::optional<RaftPeer> leader);
@@ -214,10 +224,15 @@
 
   // Membership on the leader (raft_membership.cc).
   void AdvanceMembership();
-  [[nodiscard]] bool PromoteLearner();
-  void RemoveSilentVoter();
-  void RemoveMember(const RaftPeer& peer);
-  [[nodiscard]] const RaftMember* FindSilentVoter() const;
+  // Each of the next three proposes at most one change, and returns whether it did.
+  [[nodiscard]] bool ReplaceLostDisk();
+  [[nodiscard]] bool RemoveSilentVoter();
+  bool PromoteLearner();
+  [[nodiscard]] bool IsSilent(const RaftPeer& peer) const;
+  // The other voters that are silent, the one that was heard least recently first.
+  [[nodiscard]] std::vector<RaftPeer> SilentVoters() const;
+  // The learners that reply and have all committed entries.
+  [[nodiscard]] std::vector<RaftPeer> CaughtUpLearners() const;
   [[nodiscard]] bool NeedsToJoin() const;
   [[nodiscard]] bool MayChangeMembership() const;
   void ProposeConfiguration(const RaftConfiguration& configuration);
@@ -264,6 +279,8 @@
   TimePoint m_heartbeat_deadline;
   // The index of the empty entry that opened this leader's term.
   LogIndex m_term_start_index = 0;
+  // Set by `AnnounceStop`; sent to each leader from then on.
+  std::optional<StopNotice> m_stop_notice;
   // Set while a leadership transfer is in progress.
   std::optional<TimePoint> m_transfer_deadline;
   bool m_timeout_now_sent = false;
--- a/programs/control/main.cc
+++ b/programs/control/main.cc
@@ -89,7 +89,7 @@
     while (!stop->Wait(fighatch::io::kNoDeadline)) {
     }
     LOG(INFO) << "event=stopping host=" << settings.m_host.m_value;
-    replica.TransferLeadership(std::chrono::steady_clock::now() + kLeadershipTransferTimeout);
+    replica.AnnounceStop(std::chrono::steady_clock::now() + kLeadershipTransferTimeout);
     http.Stop();
     ValueOf(server)->Stop();
   });
--- a/src/config/steering_control_settings.cc
+++ b/src/config/steering_control_settings.cc
@@ -8,6 +8,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kMaxDuration{600000};
+constexpr std::uint64_t kMaxToleratedLostDisks = 4;
 
 }  // namespace
 
@@ -27,6 +28,7 @@
   reader.OptionalMilliseconds("order_timeout_ms", milliseconds(50), kMaxDuration, &settings.m_command_timeout);
   reader.OptionalMilliseconds("replace_silent_after_ms", milliseconds(100), kMaxDuration,
                               &settings.m_replace_silent_after);
+  reader.OptionalUnsigned("tolerated_lost_disks", 0, kMaxToleratedLostDisks, &settings.m_tolerated_lost_disks);
   if (settings.m_election_timeout < 3 * settings.m_heartbeat) {
     reader.Fail(ErrorCode::kSettingsOutOfRange, "election_timeout_ms", "less than three times heartbeat_ms");
   }
--- a/src/config/steering_control_settings.h
+++ b/src/config/steering_control_settings.h
@@ -2,6 +2,7 @@
 #define FIGHATCH_CONFIG_STEERING_CONTROL_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,8 @@
   std::chrono::milliseconds m_command_timeout{900};
   /// Time without an answer from a voter after which another host may replace it in the Raft group.
   std::chrono::milliseconds m_replace_silent_after{2000};
+  /// How many control hosts may lose their disks at a time; see `RaftOptions::m_tolerated_lost_disks`.
+  std::size_t m_tolerated_lost_disks = 1;
 };
 
 /// Parses settings in JSON with comments. Errors: those of `ParseJson` and `ObjectReader`.
--- a/src/consensus/raft_follower.cc
+++ b/src/consensus/raft_follower.cc
@@ -30,6 +30,7 @@
   m_last_leader_contact = m_now;
   m_failed_elections = 0;
   ResetElectionDeadline();
+  if (m_stop_notice) Send(message.m_from, m_vote.m_term, *m_stop_notice);
   return true;
 }
 
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <vector>
 
 #include "fighatch/raft_node.h"
 #include "wire/codec.h"
@@ -14,6 +15,7 @@
 }  // namespace
 
 bool RaftNode::NeedsToJoin() const {
+  if (m_stop_notice) return false;
   if (!Configuration().HasMember(m_self)) return true;
   // A host that was removed while it was isolated never receives the configuration without it.
   const bool has_lost_leader =
@@ -56,63 +58,108 @@
   ProposeConfiguration(next);
 }
 
+void RaftNode::AnnounceStop(TimePoint now) {
+  AdvanceClock(now);
+  m_stop_notice = StopNotice{m_role == RaftRole::kLeader ? SilentVoters() : std::vector<RaftPeer>{}};
+  TransferLeadership(now);
+  if (m_role != RaftRole::kLeader && m_leader) Send(*m_leader, m_vote.m_term, *m_stop_notice);
+}
+
+void RaftNode::Handle(const RaftMessage& message, const StopNotice& notice) {
+  if (ProgressForReply(message) == nullptr) return;
+  std::vector<RaftPeer> silent = notice.m_silent;
+  silent.push_back(message.m_from);
+  for (const RaftPeer& peer : silent) {
+    const auto found = m_progress.find(peer);
+    if (found != m_progress.end()) found->second.m_noted_silent_until = m_now + m_options.m_replace_silent_after;
+  }
+  AdvanceMembership();
+}
+
 void RaftNode::AdvanceMembership() {
-  if (!MayChangeMembership() || PromoteLearner()) return;
-  if (m_options.m_open_admission) RemoveSilentVoter();
+  if (!MayChangeMembership() || ReplaceLostDisk()) return;
+  // A silent voter is removed before a learner is promoted: of four voters, one of them silent, three remain that all
+  // run, and not five with a silent one among them.
+  if (m_options.m_open_admission && RemoveSilentVoter()) return;
+  PromoteLearner();
 }
 
-bool RaftNode::PromoteLearner() {
-  const RaftConfiguration& current = Configuration();
-  const auto is_caught_up = [this](const RaftMember& member) {
-    return !member.m_voter && m_progress.at(member.m_peer).m_match_index >= m_commit_index;
-  };
-  const auto learner = std::find_if(current.m_members.begin(), current.m_members.end(), is_caught_up);
-  if (learner == current.m_members.end()) return false;
-  RaftConfiguration next = current;
-  RaftMember& promoted = next.m_members[static_cast<std::size_t>(learner - current.m_members.begin())];
-  const auto replaced =
-      std::find_if(next.m_members.begin(), next.m_members.end(), [&learner](const RaftMember& member) {
-        return member.m_voter && member.m_peer.m_host == learner->m_peer.m_host;
-      });
-  if (replaced != next.m_members.end()) {
+bool RaftNode::ReplaceLostDisk() {
+  RaftConfiguration next = Configuration();
+  for (const RaftPeer& learner : CaughtUpLearners()) {
+    const auto replaced = std::find_if(next.m_members.begin(), next.m_members.end(), [&learner](const auto& member) {
+      return member.m_voter && member.m_peer.m_host == learner.m_host;
+    });
+    if (replaced == next.m_members.end()) continue;
     // The host has a new disk, so the old identity can no longer vote, and one configuration change can replace the old
     // identity by the new one: any majority that can still form before the change shares a host with any majority after
     // it. With two changes the group would depend on every remaining disk in between.
     next.m_retired.push_back(replaced->m_peer);
-    promoted.m_voter = true;
-    next.m_members.erase(replaced);
-  } else if (const RaftMember* silent = FindSilentVoter(); m_options.m_open_admission && silent != nullptr) {
-    RemoveMember(silent->m_peer);
+    replaced->m_peer = learner;
+    std::erase_if(next.m_members,
+                  [&learner](const auto& member) { return !member.m_voter && member.m_peer == learner; });
+    ProposeConfiguration(next);
     return true;
-  } else if (m_options.m_open_admission && current.VoterCount() >= m_options.m_max_voters) {
-    return false;
-  } else {
-    promoted.m_voter = true;
   }
+  return false;
+}
+
+bool RaftNode::PromoteLearner() {
+  const std::vector<RaftPeer> learners = CaughtUpLearners();
+  if (learners.empty()) return false;
+  const std::size_t voters = Configuration().VoterCount();
+  // A successor votes before the silent voter is removed. In the opposite order a group of three would depend on both
+  // remaining disks in between, although the silent voter may only be cut off. The promotion makes the number of voters
+  // even, so that the removal follows, also above the highest number.
+  const bool has_room =
+      voters < m_options.m_max_voters || (voters == m_options.m_max_voters && !SilentVoters().empty());
+  if (m_options.m_open_admission && !has_room) return false;
+  RaftConfiguration next = Configuration();
+  for (RaftMember& member : next.m_members) member.m_voter = member.m_voter || member.m_peer == learners.front();
   ProposeConfiguration(next);
   return true;
 }
 
-const RaftMember* RaftNode::FindSilentVoter() const {
-  const auto& members = Configuration().m_members;
-  const auto silent = std::find_if(members.begin(), members.end(), [this](const RaftMember& member) {
-    if (!member.m_voter || member.m_peer == m_self) return false;
-    return m_now - m_progress.at(member.m_peer).m_last_acked_send_time > m_options.m_replace_silent_after;
-  });
-  return silent == members.end() ? nullptr : &*silent;
+std::vector<RaftPeer> RaftNode::CaughtUpLearners() const {
+  std::vector<RaftPeer> learners;
+  for (const RaftMember& member : Configuration().m_members) {
+    if (member.m_voter || IsSilent(member.m_peer)) continue;
+    if (m_progress.at(member.m_peer).m_match_index >= m_commit_index) learners.push_back(member.m_peer);
+  }
+  return learners;
+}
+
+bool RaftNode::IsSilent(const RaftPeer& peer) const {
+  const Progress& progress = m_progress.at(peer);
+  return m_now < progress.m_noted_silent_until ||
+         m_now - progress.m_last_acked_send_time > m_options.m_replace_silent_after;
 }
 
-void RaftNode::RemoveSilentVoter() {
-  // Removal helps only with an even number of voters, where it lowers the size of a majority. With an odd number the
-  // majority would stay the same.
-  if (Configuration().VoterCount() % 2 != 0 || Configuration().VoterCount() <= 2) return;
-  if (const RaftMember* silent = FindSilentVoter(); silent != nullptr) RemoveMember(silent->m_peer);
+std::vector<RaftPeer> RaftNode::SilentVoters() const {
+  std::vector<RaftPeer> silent;
+  for (const RaftMember& member : Configuration().m_members) {
+    if (member.m_voter && member.m_peer != m_self && IsSilent(member.m_peer)) silent.push_back(member.m_peer);
+  }
+  std::sort(silent.begin(), silent.end(), [this](const RaftPeer& left, const RaftPeer& right) {
+    return m_progress.at(left).m_last_acked_send_time < m_progress.at(right).m_last_acked_send_time;
+  });
+  return silent;
 }
 
-void RaftNode::RemoveMember(const RaftPeer& peer) {
+bool RaftNode::RemoveSilentVoter() {
+  const std::vector<RaftPeer> silent = SilentVoters();
+  const std::size_t voters = Configuration().VoterCount();
+  if (silent.empty() || voters <= 2) return false;
+  // Of an even number, one voter fewer lowers the size of a majority, and the remaining voters outlast as many lost
+  // disks as all of them with the silent one back. Of an odd number, two removals are needed to lower it, and if the
+  // two are only cut off, the group then outlasts one lost disk fewer than with them back.
+  const bool is_odd = voters % 2 != 0;
+  const bool may_remove_two = silent.size() >= 2 && voters - 2 >= 2 * m_options.m_tolerated_lost_disks + 1;
+  if (is_odd && !may_remove_two) return false;
   RaftConfiguration next = Configuration();
-  std::erase_if(next.m_members, [&peer](const RaftMember& member) { return member.m_peer == peer; });
+  std::erase_if(next.m_members, [&silent](const RaftMember& member) { return member.m_peer == silent.front(); });
   ProposeConfiguration(next);
+  return true;
 }
 
 void RaftNode::MatchProgressToMembers() {
--- a/src/control/control_replica.h
+++ b/src/control/control_replica.h
@@ -37,7 +37,7 @@
   void Start();
 
   /// Transfers leadership to another host and waits until that has happened or `deadline` has passed.
-  void TransferLeadership(io::Deadline deadline) { m_log.TransferLeadership(deadline); }
+  void AnnounceStop(io::Deadline deadline) { m_log.AnnounceStop(deadline); }
 
   /// Stops the fiber that runs the log, and the transport.
   void Stop() { m_log.Stop(); }
--- a/src/control/log_replica.cc
+++ b/src/control/log_replica.cc
@@ -258,13 +258,16 @@
 
 bool LogReplica::ConfirmsReads() const { return m_node.HasLease(Now()) && m_applied == m_node.CommitIndex(); }
 
-void LogReplica::TransferLeadership(io::Deadline deadline) {
-  Enqueue([this](TimePoint now) { m_node.TransferLeadership(now); });
+void LogReplica::AnnounceStop(io::Deadline deadline) {
+  const bool was_leader = m_node.Role() == RaftRole::kLeader;
+  Enqueue([this](TimePoint now) { m_node.AnnounceStop(now); });
   std::unique_lock<boost::fibers::mutex> lock(m_mutex);
-  const bool transferred = m_step_completed.wait_until(lock, deadline, [this] {
-    return m_inputs.empty() && (m_node.Role() != RaftRole::kLeader || m_node.Configuration().VoterCount() == 1);
+  const bool announced = m_step_completed.wait_until(lock, deadline, [this, was_leader] {
+    if (!m_inputs.empty()) return false;
+    const bool has_transferred = m_node.Role() != RaftRole::kLeader && m_node.Leader().has_value();
+    return !was_leader || has_transferred || m_node.Configuration().VoterCount() == 1;
   });
-  LOG(INFO) << "event=leadership_handed_over done=" << (transferred ? "true" : "false");
+  LOG(INFO) << "event=stop_announced was_leader=" << was_leader << " done=" << announced;
 }
 
 }  // namespace fighatch::daemon
--- a/src/control/log_replica.h
+++ b/src/control/log_replica.h
@@ -53,9 +53,9 @@
 
   void Start(ChangeObserver observer);
 
-  /// Transfers leadership to another voter, and waits until this host is no longer leader or `deadline` has passed.
-  /// Does not wait for a transfer if this host is the only voter.
-  void TransferLeadership(io::Deadline deadline);
+  /// Announces that this process is about to end, see `RaftNode::AnnounceStop`. If this host leads, waits until another
+  /// one does or `deadline` has passed; does not wait if this host is the only voter.
+  void AnnounceStop(io::Deadline deadline);
 
   /// Ends the fiber that owns the node, and then the transport.
   void Stop();
--- a/src/control/steering_control.cc
+++ b/src/control/steering_control.cc
@@ -54,6 +54,7 @@
   options.m_raft.m_election_timeout = settings.m_election_timeout;
   options.m_raft.m_open_admission = true;
   options.m_raft.m_replace_silent_after = settings.m_replace_silent_after;
+  options.m_raft.m_tolerated_lost_disks = settings.m_tolerated_lost_disks;
   options.m_raft.m_hosts = settings.m_discovery.SeedHosts();
   options.m_submit_timeout = settings.m_command_timeout;
   options.m_snapshot_entries = kSnapshotEntries;
@@ -153,7 +154,8 @@
   LOG(INFO) << "event=started address=" << ToString(discovery.m_address) << " data_centre=" << discovery.m_data_centre
             << " disk=" << m_log_replica->Node().Self().m_disk.m_value
             << " commit=" << m_log_replica->Node().CommitIndex() << " last=" << m_log_replica->Node().Log().LastIndex()
-            << " seeds=" << discovery.m_seeds.size();
+            << " seeds=" << discovery.m_seeds.size()
+            << " tolerated_lost_disks=" << m_settings.m_tolerated_lost_disks;
   LOG(WARNING) << "event=unsealed_messages meaning=\"messages between hosts carry no key, as the settings say\"";
   m_log_replica->Start([this] { RequestPush(); });
   std::vector<boost::fibers::fiber> fibers;
@@ -167,7 +169,7 @@
     if (stop->TakeReloadRequest()) m_seed_reload.Reload("signal");
   }
   LOG(INFO) << "event=stopping role=" << RaftRoleName(m_log_replica->Node().Role());
-  m_log_replica->TransferLeadership(steady_clock::now() + kTransferTimeout);
+  m_log_replica->AnnounceStop(steady_clock::now() + kTransferTimeout);
   m_done = true;
   m_http_server->Stop();
   if (m_metrics_server) m_metrics_server->Stop();
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -30,9 +30,11 @@
 /// `ConsensusOracle` checks every step.
 class RaftCluster {
  public:
-  /// With open admission, hosts may be added, and the group replaces members automatically.
-  RaftCluster(std::uint32_t hosts, std::uint64_t seed, bool open_admission = false)
-      : m_random(seed), m_open_admission(open_admission) {
+  /// With open admission, hosts may be added, and the group replaces members automatically; it keeps enough voters to
+  /// tolerate the loss of `tolerated_lost_disks` at a time.
+  RaftCluster(std::uint32_t hosts, std::uint64_t seed, bool open_admission = false,
+              std::size_t tolerated_lost_disks = 1)
+      : m_random(seed), m_open_admission(open_admission), m_tolerated_lost_disks(tolerated_lost_disks) {
     RaftConfiguration founding;
     for (std::uint32_t id = 1; id <= hosts; ++id) founding.m_members.push_back({{HostId{id}, kFoundingDiskId}, true});
     for (std::uint32_t id = 1; id <= hosts; ++id) {
@@ -97,6 +99,7 @@
     options.m_snapshot_chunk_bytes = 300;
     options.m_trailing_entries = 4;
     options.m_open_admission = m_open_admission;
+    options.m_tolerated_lost_disks = m_tolerated_lost_disks;
     for (const auto& [other, unused] : m_hosts) options.m_hosts.insert(HostId{other});
     host.m_node = std::make_unique<RaftNode>(options, std::move(stored), Now(id), Random(m_random()));
   }
@@ -107,6 +110,13 @@
     Start(id);
   }
 
+  /// Lets a host announce its stop, as its process does on a signal, and gives it 100 ms for that.
+  void AnnounceStop(std::uint32_t id) {
+    m_hosts[id].m_node->AnnounceStop(Now(id));
+    ProcessOutput(id);
+    Run(milliseconds(100));
+  }
+
   /// Stops a host permanently.
   void RemoveHost(std::uint32_t id) {
     Crash(id);
@@ -304,6 +314,7 @@
 
   Random m_random;
   bool m_open_admission = false;
+  std::size_t m_tolerated_lost_disks = 1;
   TimePoint m_time;
   std::map<std::uint32_t, Host> m_hosts;
   std::multimap<TimePoint, std::vector<std::byte>> m_messages;
