Take only targets of named services as proof that another target ended

Cause: a later start at an address counted as proof that the target there had ended, whatever service it announced. The control host marked the running target as gone, which is final for its start, and balancers marked it as superseded.

Ruled out: refusing such announcements. A target may start before the document that names its service, and a control host may lag behind it, so its drain would not be acknowledged.

Change: the target directory and the target table know the services of the document in force. A record of another service is kept, takes neither an address nor the id of a target of a named service, and counts once the service is named and the record is announced again. A gone record of a later start ends earlier starts at its address, whatever the order in which they arrive.

ReusedAddressEndsTheOldTarget now names the second service in its state: a service that no document names may not end a target (PROTOCOL.md, "It names no server to use; the others hold"); its checks are unchanged.

--- a/include/fighatch/routing_state.h
+++ b/include/fighatch/routing_state.h
@@ -66,6 +66,9 @@
   friend bool operator==(const RoutingState&, const RoutingState&) = default;
 };
 
+/// The names of the services that a routing state has.
+[[nodiscard]] std::set<std::string> ServiceNames(const RoutingState& state);
+
 /// The state that control hosts publish to balancers: the routing state and the data centres that are out of service.
 struct PublishedState {
   /// Index of the last log entry that changed the state; a higher one is newer.
--- a/include/fighatch/target_directory.h
+++ b/include/fighatch/target_directory.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +50,12 @@
  public:
   explicit TargetDirectory(const DirectoryOptions& options = {}) : m_options(options) {}
 
+  /// Sets the services that the operator's document names; until the first call every service counts as named. A record
+  /// of another service may come from a program that is no target, or precede the document that names the service. It
+  /// is kept, but it is no proof that a target at the same address or with the same id has ended. Its next announcement
+  /// after the service was named is.
+  void SetServices(std::set<std::string> services) { m_services = std::move(services); }
+
   /// Merges an announcement that has just arrived from the target.
   AnnounceOutcome Announce(TimePoint now, const AnnouncedTarget& record);
 
@@ -100,14 +108,19 @@
 
   AnnounceOutcome Store(TimePoint now, TimePoint heard, const AnnouncedTarget& record);
   void MarkChanged(TimePoint now, Entry* entry);
-  // Assigns the record's address to its target, and marks an earlier start that holds the address as gone. Returns
-  // false if the address belongs to a later start.
+  [[nodiscard]] bool IsNamed(const std::string& service) const {
+    return !m_services.has_value() || m_services->contains(service);
+  }
+  // Marks earlier starts at the record's address as gone. Returns false, and changes nothing, if a later start of a
+  // named service is known there.
   bool ClaimAddress(TimePoint now, const AnnouncedTarget& record);
+  void RemoveFromAddress(const AnnouncedTarget& record);
 
   DirectoryOptions m_options;
   std::unordered_map<TargetId, Entry> m_entries;
-  // The target that holds each address.
-  std::map<Endpoint, TargetId> m_owners;
+  // The targets whose records hold each address.
+  std::map<Endpoint, std::set<TargetId>> m_by_endpoint;
+  std::optional<std::set<std::string>> m_services;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_last_change = 0;
 };
--- a/include/fighatch/target_table.h
+++ b/include/fighatch/target_table.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -37,7 +39,8 @@
   TimePoint m_avoid_until;
   /// While the target is cold and its rate is limited: when the next new flow may go to it.
   TimePoint m_next_cold_flow;
-  /// True if another target has started later at the same address, so that this one has certainly ended.
+  /// True if another target of a named service has started later at the same address, so that this one has certainly
+  /// ended.
   bool m_superseded = false;
   /// Only for placement by remaining work: this balancer's requests in progress at the target, the moving average of
   /// `m_remote_flows`, and the learned speed.
@@ -57,6 +60,10 @@
   /// drain.
   static constexpr Duration kForgetDrainingAfter = std::chrono::minutes(15);
 
+  /// Sets the services that the routing state names; until the first call every service counts as named. A record of
+  /// another service does not supersede a target at the same address, see `TargetDirectory::SetServices`.
+  void SetServices(std::set<std::string> services);
+
   /// Merges a record; true if it was newer than the known one.
   bool Merge(TimePoint now, const AnnouncedTarget& record);
 
@@ -80,7 +87,7 @@
  private:
   void Reindex();
   void AddToIndexes(SteeringTarget* target);
-  // Marks all targets at an address as superseded, apart from the one that started last.
+  // Marks the targets at an address as superseded that started before the latest one of a named service.
   void MarkSuperseded(const Endpoint& endpoint);
 
   // The indexes point into this map, whose elements keep their addresses.
@@ -88,6 +95,7 @@
   std::unordered_map<std::uint32_t, std::vector<SteeringTarget*>> m_by_cookie;
   std::map<std::string, std::vector<SteeringTarget*>> m_by_service;
   std::map<Endpoint, std::vector<SteeringTarget*>> m_by_endpoint;
+  std::optional<std::set<std::string>> m_services;
 };
 
 }  // namespace fighatch
--- a/src/control/steering_control.cc
+++ b/src/control/steering_control.cc
@@ -124,6 +124,7 @@
 }
 
 Status SteeringControl::OpenServices() {
+  UpdateServices();
   LoadTargets();
   MessageTransport* transport = this;
   m_log_replica =
@@ -144,6 +145,11 @@
   return OkStatus();
 }
 
+void SteeringControl::UpdateServices() {
+  const std::shared_ptr<const PublishedState>& published = m_state_machine.Log().Published();
+  m_target_directory.SetServices(ServiceNames(published->m_routing));
+}
+
 Status SteeringControl::Run(StopSignal* stop) {
   if (m_has_damaged_storage) {
     if (!AwaitMajority(stop)) return OkStatus();
@@ -154,10 +160,12 @@
   LOG(INFO) << "event=started address=" << ToString(discovery.m_address) << " data_centre=" << discovery.m_data_centre
             << " disk=" << m_log_replica->Node().Self().m_disk.m_value
             << " commit=" << m_log_replica->Node().CommitIndex() << " last=" << m_log_replica->Node().Log().LastIndex()
-            << " seeds=" << discovery.m_seeds.size()
-            << " tolerated_lost_disks=" << m_settings.m_tolerated_lost_disks;
+            << " seeds=" << discovery.m_seeds.size() << " tolerated_lost_disks=" << m_settings.m_tolerated_lost_disks;
   LOG(WARNING) << "event=unsealed_messages meaning=\"messages between hosts carry no key, as the settings say\"";
-  m_log_replica->Start([this] { RequestPush(); });
+  m_log_replica->Start([this] {
+    UpdateServices();
+    RequestPush();
+  });
   std::vector<boost::fibers::fiber> fibers;
   fibers.emplace_back([this] { ServeMessages(); });
   fibers.emplace_back([this] { PollOtherControlHosts(); });
--- a/src/control/steering_control.h
+++ b/src/control/steering_control.h
@@ -111,6 +111,8 @@
   void RequestPush();
   void ServePushes();
   void PushChanges();
+  // Tells the target directory which services the document in force names.
+  void UpdateServices();
   void UpdateControlHosts();
   void UpdateTargets(TimePoint now);
   [[nodiscard]] StoredLog LoadLog();
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -42,6 +42,7 @@
       m_choice(std::move(choice)),
       m_random(random),
       m_view({options.m_self, options.m_data_centre, options.m_report_lifetime}) {
+  m_targets.SetServices({});
   if (m_choice->NeedsWork()) m_work.emplace();
 }
 
@@ -55,6 +56,7 @@
   const bool is_first = m_state.m_index == 0;
   if (!ApplyUpdate(update, &m_state)) return false;
   if (is_first) m_learning_until = now + m_options.m_learning_period;
+  m_targets.SetServices(ServiceNames(m_state.m_routing));
   IndexPriorities();
   return true;
 }
--- a/src/steering/routing_state.cc
+++ b/src/steering/routing_state.cc
@@ -17,6 +17,12 @@
 
 }  // namespace
 
+std::set<std::string> ServiceNames(const RoutingState& state) {
+  std::set<std::string> names;
+  for (const auto& [name, policy] : state.m_services) names.insert(name);
+  return names;
+}
+
 RoutingUpdate MakeUpdate(const PublishedState& base, const PublishedState& next) {
   RoutingUpdate update;
   update.m_base_index = base.m_index;
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -30,10 +30,14 @@
 
 AnnounceOutcome TargetDirectory::Store(TimePoint now, TimePoint heard, const AnnouncedTarget& record) {
   const auto found = m_entries.find(record.m_id);
-  if (found != m_entries.end() && !IsNewer(record, found->second.m_record)) return AnnounceOutcome::kStale;
-  const bool is_alive = record.m_state != RecordState::kGone;
-  if (is_alive && !ClaimAddress(now, record)) return AnnounceOutcome::kStale;
   const bool is_new = found == m_entries.end();
+  if (!is_new && !IsNewer(record, found->second.m_record)) return AnnounceOutcome::kStale;
+  if (!is_new && IsNamed(found->second.m_record.m_service) && !IsNamed(record.m_service))
+    return AnnounceOutcome::kStale;
+  const bool holds_address = !IsNamed(record.m_service) || ClaimAddress(now, record);
+  if (!holds_address && record.m_state != RecordState::kGone) return AnnounceOutcome::kStale;
+  if (!is_new) RemoveFromAddress(found->second.m_record);
+  m_by_endpoint[record.m_endpoint].insert(record.m_id);
   Entry& entry = m_entries[record.m_id];
   const bool changed = is_new || IsRelevantChange(record, entry.m_record);
   entry.m_record = record;
@@ -47,21 +51,33 @@
 }
 
 bool TargetDirectory::ClaimAddress(TimePoint now, const AnnouncedTarget& record) {
-  const auto owner = m_owners.find(record.m_endpoint);
-  if (owner != m_owners.end() && owner->second != record.m_id) {
-    const auto other = m_entries.find(owner->second);
-    if (other != m_entries.end() && other->second.m_record.m_endpoint == record.m_endpoint) {
-      if (other->second.m_record.m_start_unix_ms > record.m_start_unix_ms) return false;
-      if (other->second.m_record.m_state != RecordState::kGone) {
-        other->second.m_record.m_state = RecordState::kGone;
-        MarkChanged(now, &other->second);
-      }
+  const auto holders = m_by_endpoint.find(record.m_endpoint);
+  if (holders == m_by_endpoint.end()) return true;
+  std::vector<Entry*> earlier;
+  for (const TargetId id : holders->second) {
+    if (id == record.m_id) continue;
+    Entry& other = m_entries.at(id);
+    if (other.m_record.m_start_unix_ms <= record.m_start_unix_ms) {
+      earlier.push_back(&other);
+    } else if (IsNamed(other.m_record.m_service)) {
+      return false;
     }
   }
-  m_owners[record.m_endpoint] = record.m_id;
+  for (Entry* other : earlier) {
+    if (other->m_record.m_state == RecordState::kGone) continue;
+    other->m_record.m_state = RecordState::kGone;
+    MarkChanged(now, other);
+  }
   return true;
 }
 
+void TargetDirectory::RemoveFromAddress(const AnnouncedTarget& record) {
+  const auto holders = m_by_endpoint.find(record.m_endpoint);
+  if (holders == m_by_endpoint.end()) return;
+  holders->second.erase(record.m_id);
+  if (holders->second.empty()) m_by_endpoint.erase(holders);
+}
+
 void TargetDirectory::MarkChanged(TimePoint now, Entry* entry) {
   entry->m_changed = ++m_sequence;
   m_last_change = m_sequence;
@@ -93,8 +109,7 @@
     const bool is_drained = record.m_state == RecordState::kDraining && unheard_for > m_options.m_forget_after;
     const bool has_ended = record.m_state == RecordState::kSilent || record.m_state == RecordState::kGone;
     if (is_drained || (has_ended && now - entry->second.m_changed_at > m_options.m_forget_after)) {
-      const auto owner = m_owners.find(record.m_endpoint);
-      if (owner != m_owners.end() && owner->second == record.m_id) m_owners.erase(owner);
+      RemoveFromAddress(record);
       entry = m_entries.erase(entry);
     } else {
       ++entry;
--- a/src/steering/target_table.cc
+++ b/src/steering/target_table.cc
@@ -1,9 +1,16 @@
 #include "fighatch/target_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fighatch {
 
+void TargetTable::SetServices(std::set<std::string> services) {
+  if (m_services == services) return;
+  m_services = std::move(services);
+  for (const auto& [endpoint, targets] : m_by_endpoint) MarkSuperseded(endpoint);
+}
+
 bool TargetTable::Merge(TimePoint now, const AnnouncedTarget& record) {
   const auto [found, is_new] = m_targets.try_emplace(record.m_id);
   SteeringTarget& target = found->second;
@@ -52,8 +59,10 @@
 void TargetTable::MarkSuperseded(const Endpoint& endpoint) {
   const std::vector<SteeringTarget*>& targets = m_by_endpoint[endpoint];
   std::uint64_t latest_start_unix_ms = 0;
-  for (const SteeringTarget* target : targets)
+  for (const SteeringTarget* target : targets) {
+    if (m_services && !m_services->contains(target->m_record.m_service)) continue;
     latest_start_unix_ms = std::max(latest_start_unix_ms, target->m_record.m_start_unix_ms);
+  }
   for (SteeringTarget* target : targets) target->m_superseded = latest_start_unix_ms > target->m_record.m_start_unix_ms;
 }
 
--- a/tests/steering_cookie_test.cc
+++ b/tests/steering_cookie_test.cc
@@ -281,7 +281,9 @@
 // Guards against packets of old flows to a new target that has taken over the address of one that ended.
 TEST(CookieSteeringTest, ReusedAddressEndsTheOldTarget) {
   Balancer balancer;
-  balancer.ApplyState(MakeState());
+  PublishedState state = MakeState();
+  state.m_routing.m_services["other"] = {"other", 0};
+  balancer.ApplyState(state);
   balancer.AddTarget(MakeTarget(1));
   const SteeringDecision flow = balancer.Open(1);
   AnnouncedTarget other = MakeTarget(9);
@@ -294,6 +296,24 @@
   EXPECT_NE(balancer.Steer(OpeningPacket(2)).m_action, SteeringAction::kForward);
 }
 
+// Guards against resets of open flows because another writer announced a service that no document names with the
+// address of a running target.
+TEST(CookieSteeringTest, UnnamedServiceAtTheAddressResetsNoFlow) {
+  for (const bool state_is_first : {false, true}) {
+    Balancer balancer;
+    if (state_is_first) balancer.ApplyState(MakeState());
+    balancer.AddTarget(MakeTarget(1));
+    AnnouncedTarget other = MakeTarget(2);
+    other.m_endpoint = MakeTarget(1).m_endpoint;
+    other.m_service = "node-agent";
+    balancer.AddTarget(other);
+    EXPECT_EQ(balancer.Steer(LaterPacket(1, CookieOf(MakeTarget(1).m_id))).m_action, SteeringAction::kForward);
+    balancer.ApplyState(MakeState());
+    EXPECT_EQ(balancer.Open(2).m_target, MakeTarget(1).m_id);
+    EXPECT_EQ(balancer.Steer(LaterPacket(2, CookieOf(MakeTarget(1).m_id))).m_action, SteeringAction::kForward);
+  }
+}
+
 // Guards against new flows to targets that are full, and against targets that stay full because clients gave up without
 // closing their flows: a silent flow stops counting as load.
 TEST(CookieSteeringTest, FullTargetsHoldNewFlowsUntilSilentFlowsStopCounting) {
--- a/tests/steering_directory_test.cc
+++ b/tests/steering_directory_test.cc
@@ -55,6 +55,65 @@
   EXPECT_EQ(directory.Announce(kStart, WithSequence(MakeTarget(1), 6)), AnnounceOutcome::kStale);
 }
 
+// A record of a service that no document names, at the address of `MakeTarget(1)` and of a later start.
+AnnouncedTarget MakeUnnamed(std::uint32_t number) {
+  AnnouncedTarget record = MakeTarget(number);
+  record.m_endpoint = MakeTarget(1).m_endpoint;
+  record.m_service = "node-agent";
+  return record;
+}
+
+// Guards against an announcement of another writer that takes the address of a running target, which then ignores the
+// target's own announcements.
+TEST(TargetDirectoryTest, UnnamedServiceTakesNoAddress) {
+  for (const bool unnamed_is_first : {false, true}) {
+    TargetDirectory directory;
+    directory.SetServices({testing_support::kService});
+    if (!unnamed_is_first) (void)directory.Announce(kStart, WithSequence(MakeTarget(1), 5));
+    (void)directory.Announce(kStart, MakeUnnamed(2));
+    EXPECT_NE(directory.Announce(kStart, WithSequence(MakeTarget(1), 6)), AnnounceOutcome::kStale);
+    ASSERT_NE(directory.Find(MakeTarget(1).m_id), nullptr);
+    EXPECT_EQ(directory.Find(MakeTarget(1).m_id)->m_state, RecordState::kReady);
+  }
+}
+
+// Guards against an announcement of another writer that replaces the record of a running target under its id.
+TEST(TargetDirectoryTest, UnnamedServiceTakesNoId) {
+  TargetDirectory directory;
+  directory.SetServices({testing_support::kService});
+  (void)directory.Announce(kStart, WithSequence(MakeTarget(1), 5));
+  AnnouncedTarget other = MakeUnnamed(1);
+  other.m_start_unix_ms += 1000;
+  EXPECT_EQ(directory.Announce(kStart, other), AnnounceOutcome::kStale);
+  EXPECT_EQ(*directory.Find(MakeTarget(1).m_id), WithSequence(MakeTarget(1), 5));
+}
+
+// Guards against a target that started before the document that names its service and never gets its address.
+TEST(TargetDirectoryTest, ServiceThatIsNamedLaterTakesTheAddress) {
+  TargetDirectory directory;
+  directory.SetServices({testing_support::kService});
+  (void)directory.Announce(kStart, WithSequence(MakeTarget(1), 5));
+  (void)directory.Announce(kStart, MakeUnnamed(2));
+  directory.SetServices({testing_support::kService, "node-agent"});
+  (void)directory.Announce(kStart, WithSequence(MakeUnnamed(2), 2));
+  EXPECT_EQ(directory.Find(MakeTarget(1).m_id)->m_state, RecordState::kGone);
+  EXPECT_EQ(directory.Find(MakeTarget(2).m_id)->m_state, RecordState::kReady);
+}
+
+// Guards against a restarted target that keeps its former address from the next one there.
+TEST(TargetDirectoryTest, FormerAddressIsFree) {
+  TargetDirectory directory;
+  (void)directory.Announce(kStart, MakeTarget(1));
+  AnnouncedTarget moved = MakeTarget(1);
+  moved.m_start_unix_ms += 1000;
+  moved.m_endpoint = MakeTarget(3).m_endpoint;
+  (void)directory.Announce(kStart, moved);
+  AnnouncedTarget next = MakeTarget(2);
+  next.m_endpoint = MakeTarget(1).m_endpoint;
+  EXPECT_EQ(directory.Announce(kStart, next), AnnounceOutcome::kChanged);
+  EXPECT_EQ(directory.Find(moved.m_id)->m_state, RecordState::kReady);
+}
+
 // Guards against a silent target that stays ready, and against one that is ignored after it comes back.
 TEST(TargetDirectoryTest, SilentTargetIsMarkedAndCanReturn) {
   TargetDirectory directory;
