Bound the retained log by bytes, in memory and in segments

What callers saw: operators changed a document of 133 to 156 KB some hundred times with restarts in between; an acknowledged change was not in force in time or came back older, and reads went unanswered in calm times. These are the signs of a control group without a leader.

Segments of the stored log were closed by their compressed size, so that a restart held all of them.

That two hosts of the users' runs were out at once is suspected from this, not shown.

Measured: both cases of consensus_retention_test fail on the code before (232 MB of log after 400 entries of 0.58 MB) and pass now.

--- a/include/fighatch/file_log_storage.h
+++ b/include/fighatch/file_log_storage.h
@@ -28,7 +28,8 @@
 /// \endcode
 class FileLogStorage : public LogStorage {
  public:
-  /// A new segment is started once the current one has at least this many bytes.
+  /// A new segment is started once the current one has at least this many bytes, or its entries have payloads of this
+  /// size: stored entries are compressed, and whoever opens the log holds them uncompressed.
   static constexpr std::size_t kSegmentBytes = 4 << 20;
 
   /// True if the folder has an identity file. Errors: `kStorageCorrupt` if it has files other than the vote but no
@@ -75,7 +76,9 @@
  private:
   struct Segment {
     std::uint64_t m_first_batch = 0;
+    // Size of the file.
     std::size_t m_bytes = 0;
+    std::size_t m_payload_bytes = 0;
     // The highest index of the entries in the segment.
     LogIndex m_highest = 0;
   };
--- a/include/fighatch/raft_log.h
+++ b/include/fighatch/raft_log.h
@@ -36,6 +36,10 @@
   /// Discards all entries up to the index; the last one discarded becomes the base.
   void DiscardUpTo(LogIndex index);
 
+  /// The base that the log gets if, of the entries up to `index`, it keeps as many of the last ones as both limits
+  /// allow; bytes are counted as in `Slice`.
+  [[nodiscard]] LogIndex BaseFor(LogIndex index, std::uint64_t max_entries, std::size_t max_bytes) const;
+
   /// Copies consecutive entries from an index on, as many as fit within the limit: their payloads, plus a fixed
   /// overhead for each entry. The first entry is included even if it exceeds the limit.
   [[nodiscard]] std::vector<LogEntry> Slice(LogIndex from, std::size_t limit_bytes) const;
--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -40,6 +40,9 @@
   std::size_t m_snapshot_chunk_bytes = 48 * 1024;
   /// Entries before the snapshot that stay in the log, so that a follower that lags a little needs no snapshot.
   std::uint64_t m_trailing_entries = 1024;
+  /// Upper limit of the bytes of these entries. It bounds the memory of the log, the time of a restart and how much a
+  /// new host is sent before it catches up, whatever the size of an entry.
+  std::size_t m_trailing_bytes = std::size_t{4} << 20U;
   /// The hosts that may be members, from the settings; a host that is not listed is not added. With open admission
   /// these are the hosts to which this one sends its join requests.
   std::set<HostId> m_hosts;
--- a/src/consensus/file_log_storage.cc
+++ b/src/consensus/file_log_storage.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdio>
 #include <iterator>
+#include <numeric>
 #include <set>
 
 #include "consensus/log_record.h"
@@ -69,6 +70,11 @@
   return OkStatus();
 }
 
+std::size_t PayloadBytes(std::span<const LogEntry> entries) {
+  return std::accumulate(entries.begin(), entries.end(), std::size_t{0},
+                         [](std::size_t sum, const LogEntry& entry) { return sum + entry.m_payload.size(); });
+}
+
 }  // namespace
 
 Result<bool> FileLogStorage::IsFormatted(StorageDirectory* directory) {
@@ -224,6 +230,7 @@
   Segment segment;
   segment.m_first_batch = first_batch;
   segment.m_bytes = content.m_valid_bytes;
+  segment.m_payload_bytes = PayloadBytes(content.m_entries);
   for (const LogEntry& entry : content.m_entries) segment.m_highest = std::max(segment.m_highest, entry.m_index);
   m_last_batch = content.m_last_batch;
   m_segments.push_back(segment);
@@ -307,13 +314,15 @@
 }
 
 Status FileLogStorage::DoAppend(std::span<const LogEntry> entries) {
-  const bool is_new = m_segments.empty() || m_segments.back().m_bytes >= m_segment_bytes;
+  const bool is_new = m_segments.empty() || m_segments.back().m_bytes >= m_segment_bytes ||
+                      m_segments.back().m_payload_bytes >= m_segment_bytes;
   const std::string bytes = EncodeBatch(entries, ++m_last_batch);
-  if (is_new) m_segments.push_back({m_last_batch, 0, 0});
+  if (is_new) m_segments.push_back({m_last_batch, 0, 0, 0});
   Segment& segment = m_segments.back();
   const Segment before = segment;
   const std::string name = SegmentName(segment.m_first_batch);
   segment.m_bytes += bytes.size();
+  segment.m_payload_bytes += PayloadBytes(entries);
   segment.m_highest = std::max(segment.m_highest, entries.back().m_index);
   Status written = m_directory->Append(name, bytes);
   if (!IsOk(written) && ErrorOf(written).m_code == ErrorCode::kStorageFull) {
--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -32,6 +32,17 @@
   }
 }
 
+LogIndex RaftLog::BaseFor(LogIndex index, std::uint64_t max_entries, std::size_t max_bytes) const {
+  std::size_t bytes = 0;
+  LogIndex base = index;
+  while (base > m_base_index && index - base < max_entries) {
+    bytes += At(base).m_payload.size() + kEntryOverheadBytes;
+    if (bytes > max_bytes) break;
+    --base;
+  }
+  return base;
+}
+
 std::vector<LogEntry> RaftLog::Slice(LogIndex from, std::size_t limit_bytes) const {
   std::vector<LogEntry> slice;
   std::size_t bytes = 0;
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -76,7 +76,7 @@
   }
   m_snapshot = std::make_shared<const RaftSnapshot>(
       RaftSnapshot{index, *term, m_configurations.front().second, std::move(data)});
-  if (index > m_options.m_trailing_entries) m_log.DiscardUpTo(index - m_options.m_trailing_entries);
+  m_log.DiscardUpTo(m_log.BaseFor(index, m_options.m_trailing_entries, m_options.m_trailing_bytes));
   return {m_snapshot, m_log.BaseIndex() + 1};
 }
 
