Let a host whose seeds are gone rejoin with a new disk

What callers saw: after the founders had been replaced, a control host that lost its disk never came back, and the next lost disk left no majority: 503 on every host, an acknowledged change never read back.

Cause: a host with an empty disk asks only its seeds, which were all gone. The leader went on sending to the host's former identity, and the host ignored messages for another disk.

Ruled out: a host that cannot reach the others (its messages arrived), and a refused join request (none was sent).

Change: a message for a former disk names a host to ask. Every member remembers the hosts that left the group, also those removed as silent, and the leader invites them once a second for 10 minutes.

--- a/include/fighatch/forward.h
+++ b/include/fighatch/forward.h
@@ -80,6 +80,7 @@
 struct InForceReport;
 struct InnerPacket;
 struct IpAddress;
+struct Invitation;
 struct JoinRequest;
 struct JournalEntry;
 struct JournalLimits;
--- a/include/fighatch/raft_message.h
+++ b/include/fighatch/raft_message.h
@@ -255,15 +255,24 @@
   }
 };
 
+/// Asks a host that left the group, for example because it was silent for too long, to join again if it still runs. Its
+/// settings may name no host that still exists.
+struct Invitation {
+  friend bool operator==(const Invitation&, const Invitation&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
 /// A message between control hosts.
 struct RaftMessage {
   RaftPeer m_from;
-  /// Disk 0 addresses the host whatever its disk; used by `JoinRequest`.
+  /// Disk 0 addresses the host whatever its disk; used by `JoinRequest` and `Invitation`.
   RaftPeer m_to;
   /// The sender's term; the next term in a pre-vote request, 0 in a `JoinRequest`.
   Term m_term = 0;
   std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, JoinRequest,
-               TimeoutNow, StopNotice>
+               TimeoutNow, StopNotice, Invitation>
       m_body;
 
   friend bool operator==(const RaftMessage&, const RaftMessage&) = default;
--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -195,6 +195,7 @@
   void Handle(const RaftMessage& message, const JoinRequest& request);
   void Handle(const RaftMessage& message, const TimeoutNow& request);
   void Handle(const RaftMessage& message, const StopNotice& notice);
+  void Handle(const RaftMessage& message, const Invitation& invitation);
 
   // Elections (raft_election.cc).
   void BecomeFollower(Term term, std::optional<RaftPeer> leader);
@@ -242,6 +243,11 @@
   void AddLearner(const RaftPeer& peer);
   void MatchProgressToMembers();
   void RequestJoin();
+  // Remembers a host that a join request can be sent to, because it has sent a message to this one.
+  void AddJoinContact(HostId host);
+  // Updates the hosts that are invited to join again.
+  void RecordFormerHosts(const RaftConfiguration& before, const RaftConfiguration& after);
+  void InviteFormerHosts();
 
   // Replication on followers (raft_follower.cc).
 
@@ -275,6 +281,12 @@
   // deadline.
   std::uint64_t m_failed_elections = 0;
   TimePoint m_join_deadline;
+  // Hosts that have sent messages to this host while it was no member.
+  std::set<HostId> m_join_contacts;
+  // Hosts that are no members any more, and until when they are invited. Every member knows them, so that the next
+  // leader goes on.
+  std::map<HostId, TimePoint> m_former_hosts;
+  TimePoint m_invitation_deadline;
   std::set<RaftPeer> m_votes;
   std::optional<IncomingSnapshot> m_incoming_snapshot;
 
--- a/src/consensus/raft_leader.cc
+++ b/src/consensus/raft_leader.cc
@@ -14,6 +14,7 @@
   if (m_transfer_deadline && m_now >= *m_transfer_deadline) m_transfer_deadline.reset();
   AdvanceMembership();
   Broadcast();
+  InviteFormerHosts();
   ContinueTransfer();
 }
 
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -11,6 +11,12 @@
 constexpr int kJoinIntervalHeartbeats = 5;
 // With open admission, a member that has not heard from a leader for this many election timeouts asks to join again.
 constexpr int kRejoinAfterElectionTimeouts = 4;
+// Limit on the hosts that a host remembers from their messages while it is no member.
+constexpr std::size_t kMaxJoinContacts = 64;
+// How long, and how often, a host that left the group is invited to join again. The period exceeds the time that a host
+// usually is down, and a host that has ended for good costs one message per interval until then.
+constexpr std::chrono::minutes kInvitationPeriod{10};
+constexpr std::chrono::milliseconds kInvitationInterval{1000};
 
 }  // namespace
 
@@ -27,12 +33,34 @@
   if (m_now < m_join_deadline) return;
   m_join_deadline = m_now + m_options.m_heartbeat * kJoinIntervalHeartbeats;
   std::set<HostId> contacts = m_options.m_hosts;
+  contacts.insert(m_join_contacts.begin(), m_join_contacts.end());
   for (const RaftMember& member : Configuration().m_members) contacts.insert(member.m_peer.m_host);
   for (const HostId host : contacts) {
     if (host != m_self.m_host) Send({host, DiskId{}}, 0, JoinRequest{});
   }
 }
 
+void RaftNode::AddJoinContact(HostId host) {
+  if (NeedsToJoin() && m_join_contacts.size() < kMaxJoinContacts) m_join_contacts.insert(host);
+}
+
+void RaftNode::Handle(const RaftMessage& message, const Invitation& /*invitation*/) {
+  AddJoinContact(message.m_from.m_host);
+}
+
+void RaftNode::RecordFormerHosts(const RaftConfiguration& before, const RaftConfiguration& after) {
+  if (!m_options.m_open_admission) return;
+  for (const RaftMember& member : before.m_members) m_former_hosts[member.m_peer.m_host] = m_now + kInvitationPeriod;
+  for (const RaftMember& member : after.m_members) m_former_hosts.erase(member.m_peer.m_host);
+}
+
+void RaftNode::InviteFormerHosts() {
+  if (m_now < m_invitation_deadline) return;
+  m_invitation_deadline = m_now + kInvitationInterval;
+  std::erase_if(m_former_hosts, [this](const auto& entry) { return entry.second < m_now; });
+  for (const auto& [host, until] : m_former_hosts) Send({host, DiskId{}}, m_vote.m_term, Invitation{});
+}
+
 bool RaftNode::MayChangeMembership() const {
   return m_role == RaftRole::kLeader && m_commit_index >= m_term_start_index &&
          m_configurations.back().first <= m_commit_index && !m_transfer_deadline;
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -54,8 +54,11 @@
 
 void RaftNode::Receive(TimePoint now, const RaftMessage& message) {
   AdvanceClock(now);
+  if (message.m_to.m_host != m_self.m_host || message.m_from.m_host == m_self.m_host) return;
   const bool is_for_this_disk = message.m_to.m_disk == m_self.m_disk || message.m_to.m_disk == DiskId{};
-  if (message.m_to.m_host != m_self.m_host || !is_for_this_disk || message.m_from.m_host == m_self.m_host) return;
+  // The sender takes this host for the one with its former disk. It is a member of the group to join, and it may be the
+  // only one that this host can reach: its seeds may be gone.
+  if (!is_for_this_disk) return AddJoinContact(message.m_from.m_host);
   std::visit([this, &message](const auto& body) { Handle(message, body); }, message.m_body);
 }
 
@@ -104,7 +107,9 @@
 
 void RaftNode::AddConfiguration(LogIndex index, const std::string& payload) {
   Result<RaftConfiguration> decoded = wire::Decode<RaftConfiguration>(std::as_bytes(std::span(payload)));
-  if (IsOk(decoded)) m_configurations.emplace_back(index, std::move(ValueOf(decoded)));
+  if (!IsOk(decoded)) return;
+  RecordFormerHosts(Configuration(), ValueOf(decoded));
+  m_configurations.emplace_back(index, std::move(ValueOf(decoded)));
 }
 
 Status Persist(const RaftOutput& output, LogStorage* storage) {
--- a/tests/consensus_membership_test.cc
+++ b/tests/consensus_membership_test.cc
@@ -239,6 +239,23 @@
   EXPECT_EQ(deployment.Check(), "");
 }
 
+// Guards against a host whose seeds are all gone when it loses its disk: it has no member to ask, and stays out
+// although the others go on sending to its former identity.
+TEST(ConsensusMembershipTest, HostWithoutLiveSeedsRejoinsWithNewDisk) {
+  for (const std::uint32_t hosts : {3U, 4U}) {
+    for (const milliseconds down_for : {milliseconds(500), milliseconds(6000)}) {
+      Deployment deployment(hosts, 1, 1);
+      deployment.Cluster().SetSeeds({90, 91, 92});
+      const std::uint32_t lost = deployment.Cluster().Leader() % hosts + 1;
+      deployment.LoseDisk(lost, down_for);
+      deployment.Cluster().Run(kCatchUp);
+      EXPECT_TRUE(deployment.Configuration().HasVoter(deployment.Cluster().Node(lost).Self()))
+          << hosts << " hosts, down for " << down_for.count() << " ms";
+      EXPECT_EQ(deployment.Check(), "");
+    }
+  }
+}
+
 // A size of the group and the number of lost disks that it must tolerate at a time.
 struct GroupSize {
   std::uint32_t m_hosts = 3;
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -101,9 +101,16 @@
     options.m_open_admission = m_open_admission;
     options.m_tolerated_lost_disks = m_tolerated_lost_disks;
     for (const auto& [other, unused] : m_hosts) options.m_hosts.insert(HostId{other});
+    if (m_seeds) options.m_hosts = *m_seeds;
     host.m_node = std::make_unique<RaftNode>(options, std::move(stored), Now(id), Random(m_random()));
   }
 
+  /// Sets the hosts that a host may send join requests to from its next start on; by default all current hosts.
+  void SetSeeds(const std::set<std::uint32_t>& hosts) {
+    m_seeds.emplace();
+    for (const std::uint32_t id : hosts) m_seeds->insert(HostId{id});
+  }
+
   /// Adds a host with an empty disk, which may send join requests to all current hosts.
   void AddHost(std::uint32_t id) {
     m_hosts[id].m_directory = std::make_unique<MemoryDirectory>(m_random());
@@ -315,6 +322,7 @@
   Random m_random;
   bool m_open_admission = false;
   std::size_t m_tolerated_lost_disks = 1;
+  std::optional<std::set<HostId>> m_seeds;
   TimePoint m_time;
   std::map<std::uint32_t, Host> m_hosts;
   std::multimap<TimePoint, std::vector<std::byte>> m_messages;
