Log members and refused joins, and write each log line at once

The logs could not tell why a group had no leader: neither the members at a change of the group nor the reason for a refused join request stood there, and the last lines of a killed process were lost or cut, since the C library buffers a pipe or a file as a whole block.

Change: `event=members` at each change of the configuration (host, disk, role and, on the leader, the silence of each member); `event=join_refused` when the reason changes; standard output is line-buffered. It stays non-blocking, so that a reader that falls behind costs lines and no time.

--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -27,6 +27,19 @@
 /// "follower", "pre_candidate", "candidate" or "leader".
 [[nodiscard]] std::string_view RaftRoleName(RaftRole role) noexcept;
 
+/// Why the leader does not add a host that asks to join.
+enum class JoinRefusal : std::uint8_t {
+  /// The last membership change, or the leader's first entry, is not committed yet, or leadership is being handed over.
+  kChangeInProgress = 0,
+  /// The group has no open admission and its settings do not list the host.
+  kNotListed = 1,
+  /// The disk was replaced by a new one, so its identity must not vote again.
+  kRetired = 2,
+};
+
+/// "change_in_progress", "not_listed" or "retired".
+[[nodiscard]] std::string_view JoinRefusalName(JoinRefusal reason) noexcept;
+
 /// Timings, limits and admission rules of a `RaftNode`.
 struct RaftOptions {
   /// Interval between heartbeats of the leader.
@@ -72,6 +85,8 @@
   std::vector<LogEntry> m_committed;
   /// Read barriers that passed, by id, each with a log index: a read is up to date once that index is applied.
   std::vector<std::pair<std::uint64_t, LogIndex>> m_passed_read_barriers;
+  /// Join requests that this host refused as leader, for the log.
+  std::vector<std::pair<RaftPeer, JoinRefusal>> m_refused_joins;
 };
 
 /// The Raft state machine of one control host, with pre-vote, leader lease, learners, snapshots, leadership transfer
@@ -147,6 +162,9 @@
   [[nodiscard]] const RaftPeer& Self() const noexcept { return m_self; }
   /// The latest configuration in the log. It is in effect even before it is committed.
   [[nodiscard]] const RaftConfiguration& Configuration() const noexcept { return m_configurations.back().second; }
+  /// On the leader: how long ago the request was sent that the member answered last. Empty for this host itself, for
+  /// other hosts, and on hosts that do not lead.
+  [[nodiscard]] std::optional<Duration> SilenceOf(const RaftPeer& peer) const;
   /// True while a leadership transfer that this host started is in progress.
   [[nodiscard]] bool IsTransferring() const noexcept { return m_transfer_deadline.has_value(); }
 
@@ -239,6 +257,7 @@
   [[nodiscard]] std::vector<RaftPeer> CaughtUpLearners() const;
   [[nodiscard]] bool NeedsToJoin() const;
   [[nodiscard]] bool MayChangeMembership() const;
+  [[nodiscard]] std::optional<JoinRefusal> ReasonToRefuse(const RaftPeer& peer) const;
   void ProposeConfiguration(const RaftConfiguration& configuration);
   void AddLearner(const RaftPeer& peer);
   void MatchProgressToMembers();
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <vector>
 
 #include "fighatch/raft_node.h"
@@ -73,9 +74,29 @@
 
 void RaftNode::Handle(const RaftMessage& message, const JoinRequest& /*request*/) {
   const RaftPeer& peer = message.m_from;
-  const bool is_admitted = m_options.m_open_admission || m_options.m_hosts.contains(peer.m_host);
-  if (!MayChangeMembership() || !is_admitted || peer.m_disk == DiskId{}) return;
-  if (!Configuration().HasMember(peer) && !Configuration().IsRetired(peer)) AddLearner(peer);
+  if (m_role != RaftRole::kLeader || peer.m_disk == DiskId{} || Configuration().HasMember(peer)) return;
+  if (const std::optional<JoinRefusal> reason = ReasonToRefuse(peer)) {
+    m_output.m_refused_joins.emplace_back(peer, *reason);
+  } else {
+    AddLearner(peer);
+  }
+}
+
+std::optional<JoinRefusal> RaftNode::ReasonToRefuse(const RaftPeer& peer) const {
+  if (!m_options.m_open_admission && !m_options.m_hosts.contains(peer.m_host)) return JoinRefusal::kNotListed;
+  if (Configuration().IsRetired(peer)) return JoinRefusal::kRetired;
+  return MayChangeMembership() ? std::nullopt : std::optional(JoinRefusal::kChangeInProgress);
+}
+
+std::string_view JoinRefusalName(JoinRefusal reason) noexcept {
+  constexpr std::array<std::string_view, 3> kNames{"change_in_progress", "not_listed", "retired"};
+  return kNames[static_cast<std::size_t>(reason)];
+}
+
+std::optional<Duration> RaftNode::SilenceOf(const RaftPeer& peer) const {
+  const auto found = m_progress.find(peer);
+  if (m_role != RaftRole::kLeader || found == m_progress.end()) return std::nullopt;
+  return m_now - found->second.m_last_acked_send_time;
 }
 
 void RaftNode::AddLearner(const RaftPeer& peer) {
--- a/src/control/log_replica.cc
+++ b/src/control/log_replica.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <boost/fiber/operations.hpp>
+#include <sstream>
 
 #include "daemon/random_bits.h"
 
@@ -152,6 +153,8 @@
   for (const LogEntry& entry : output.m_committed) Apply(entry);
   MaybeCompact();
   LogRoleChange();
+  LogMembershipChange();
+  LogRefusedJoins(output);
   m_step_completed.notify_all();
   if (m_observer && (output.m_snapshot || !output.m_committed.empty())) m_observer();
 }
@@ -224,6 +227,33 @@
             << " voters=" << m_node.Configuration().VoterCount();
 }
 
+void LogReplica::LogMembershipChange() {
+  const RaftConfiguration& configuration = m_node.Configuration();
+  if (configuration == m_logged_configuration) return;
+  m_logged_configuration = configuration;
+  m_logged_refusals.clear();
+  std::ostringstream list;
+  for (const RaftMember& member : configuration.m_members) {
+    list << (list.tellp() > 0 ? "," : "") << member.m_peer.m_host.m_value << ":" << member.m_peer.m_disk.m_value
+         << (member.m_voter ? ":voter" : ":learner");
+    if (const std::optional<Duration> silence = m_node.SilenceOf(member.m_peer)) {
+      list << ":" << std::chrono::duration_cast<std::chrono::milliseconds>(*silence).count() << "ms";
+    }
+  }
+  LOG(INFO) << "event=members term=" << m_node.CurrentTerm() << " last=" << m_node.Log().LastIndex()
+            << " voters=" << configuration.VoterCount() << " list=" << list.str();
+}
+
+void LogReplica::LogRefusedJoins(const RaftOutput& output) {
+  for (const auto& [peer, reason] : output.m_refused_joins) {
+    const auto [known, is_new] = m_logged_refusals.try_emplace(peer.m_host, reason);
+    if (!is_new && known->second == reason) continue;
+    known->second = reason;
+    LOG(INFO) << "event=join_refused host=" << peer.m_host.m_value << " disk=" << peer.m_disk.m_value
+              << " reason=" << JoinRefusalName(reason);
+  }
+}
+
 Error LogReplica::NotLeaderError() const {
   const std::optional<RaftPeer> leader = m_node.Leader();
   if (!leader) return MakeError(ErrorCode::kTicketNoQuorum, "this host knows no leader");
--- a/src/control/log_replica.h
+++ b/src/control/log_replica.h
@@ -102,6 +102,8 @@
   void CompletePending(const LogEntry& entry, const std::any& result);
   void MaybeCompact();
   void LogRoleChange();
+  void LogMembershipChange();
+  void LogRefusedJoins(const RaftOutput& output);
   void Propose(std::string payload, const std::shared_ptr<PendingProposal>& pending, TimePoint now);
   [[nodiscard]] Error NotLeaderError() const;
 
@@ -125,6 +127,9 @@
   boost::fibers::fiber m_fiber;
   RaftRole m_logged_role = RaftRole::kFollower;
   Term m_logged_term = 0;
+  RaftConfiguration m_logged_configuration;
+  // The reason that was logged last for each host that asks to join; it asks several times a second.
+  std::map<HostId, JoinRefusal> m_logged_refusals;
   bool m_stopping = false;
 };
 
--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -5,11 +5,18 @@
 #include <sodium.h>
 #include <unistd.h>
 
+#include <cstdio>
 #include <cxxopts.hpp>
 
 #include "config/json_reader.h"
 
 namespace fighatch::daemon {
+namespace {
+
+// Longer than any log line, so that each line is written at once.
+constexpr std::size_t kLogBufferBytes = std::size_t{64} << 10U;
+
+}  // namespace
 
 ParsedCommandLine ParseCommandLine(int argc, char** argv, const ProgramInfo& info) {
   ParsedCommandLine parsed;
@@ -48,6 +55,8 @@
   if (output == LogOutput::kStandardOutput) {
     FLAGS_logtostdout = true;
     FLAGS_logbuflevel = -1;
+    // A pipe or a file is buffered as a whole block by default, so that the last lines of a killed process were lost.
+    setvbuf(stdout, nullptr, _IOLBF, kLogBufferBytes);
     fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
   } else {
     FLAGS_logtostderr = true;
