--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -302,8 +302,8 @@
   TimePoint m_join_deadline;
   // Hosts that have sent messages to this host while it was no member.
   std::set<HostId> m_join_contacts;
-  // Hosts that are no members any more, and until when they are invited. Every member knows them, so that the next
-  // leader goes on.
+  // Hosts that are no members any more, and until when they are invited. All running members know them, so that
+  // the next leader goes on.
   std::map<HostId, TimePoint> m_former_hosts;
   TimePoint m_invitation_deadline;
   std::set<RaftPeer> m_votes;
--- a/tests/consensus_membership_test.cc
+++ b/tests/consensus_membership_test.cc
@@ -8,20 +8,13 @@
 namespace fighatch {
 namespace {
 
+using testing_support::MakeTicket;
 using testing_support::milliseconds;
 using testing_support::RaftCluster;
 
 // How long a host must have run and been connected before another one may be lost.
 constexpr milliseconds kCatchUp{4000};
 
-Ticket MakeTicket(std::uint64_t number) {
-  Ticket ticket;
-  ticket.m_number.m_value = number;
-  ticket.m_author = "operator";
-  ticket.m_data_centres.push_back({"dc" + std::to_string(number % 5), {}, DataCentreState::kIn, "r1", {}});
-  return ticket;
-}
-
 // A group with open admission and the operations of its deployment. Every operation keeps within the losses that the
 // group must tolerate: at most `m_tolerated` disks at a time, and any number of hosts that are down or cut off.
 class Deployment {
--- a/tests/consensus_open_group_test.cc
+++ b/tests/consensus_open_group_test.cc
@@ -6,17 +6,10 @@
 namespace fighatch {
 namespace {
 
+using testing_support::MakeTicket;
 using testing_support::milliseconds;
 using testing_support::RaftCluster;
 
-Ticket MakeTicket(std::uint64_t number) {
-  Ticket ticket;
-  ticket.m_number.m_value = number;
-  ticket.m_author = "operator";
-  ticket.m_data_centres.push_back({"dc" + std::to_string(number % 5), {}, DataCentreState::kIn, "r1", {}});
-  return ticket;
-}
-
 // A group with open admission; the oracle's invariants are checked at the end of each test.
 class OpenGroupTest : public testing::Test {
  protected:
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -17,6 +17,15 @@
 
 using std::chrono::milliseconds;
 
+/// A ticket that takes one data centre into service.
+inline Ticket MakeTicket(std::uint64_t number) {
+  Ticket ticket;
+  ticket.m_number.m_value = number;
+  ticket.m_author = "operator";
+  ticket.m_data_centres.push_back({"dc" + std::to_string(number % 5), {}, DataCentreState::kIn, "r1", {}});
+  return ticket;
+}
+
 /// Faults of the simulated network; loss and duplicates are in percent of the messages.
 struct NetworkFaults {
   std::uint64_t m_loss_percent = 0;
