--- a/fuzz/raft_message_fuzz.cc
+++ b/fuzz/raft_message_fuzz.cc
@@ -15,6 +15,7 @@
   }
   fighatch::TimePoint now;
   fighatch::RaftNode node(fighatch::RaftOptions{}, stored, now, fighatch::Random(1));
+  std::uint64_t writes = 0;
   std::span<const std::byte> rest(reinterpret_cast<const std::byte*>(data), size);
   while (!rest.empty()) {
     const std::size_t length = std::min<std::size_t>(std::to_integer<std::size_t>(rest[0]) * 4, rest.size() - 1);
@@ -27,7 +28,10 @@
       addressed.m_to = node.Self();
       node.Receive(now, addressed);
     }
+    // Every second write takes until the next message.
+    if (writes % 2 == 1) node.OnPersisted(now);
     const fighatch::RaftOutput output = node.TakeOutput();
+    if (output.HasDataToPersist() && ++writes % 2 == 0) node.OnPersisted(now);
     for (const fighatch::RaftMessage& sent : output.m_messages) {
       if (!fighatch::IsOk(fighatch::DecodeRaftMessage(fighatch::EncodeRaftMessage(sent)))) __builtin_trap();
     }
--- a/include/fighatch/raft_log.h
+++ b/include/fighatch/raft_log.h
@@ -36,6 +36,9 @@
   /// Discards all entries up to the index; the last one discarded becomes the base.
   void DiscardUpTo(LogIndex index);
 
+  /// The payload bytes of the entries after an index.
+  [[nodiscard]] std::size_t PayloadBytesAfter(LogIndex index) const;
+
   /// The base that the log gets if, of the entries up to `index`, it keeps as many of the last ones as both limits
   /// allow; bytes are counted as in `Slice`.
   [[nodiscard]] LogIndex BaseFor(LogIndex index, std::uint64_t max_entries, std::size_t max_bytes) const;
--- a/include/fighatch/raft_message.h
+++ b/include/fighatch/raft_message.h
@@ -171,10 +171,10 @@
 /// The reply to an `AppendRequest`.
 struct AppendReply {
   bool m_success = false;
-  /// On success the highest index up to which the logs are known to match; otherwise the previous index that the leader
-  /// should try next.
+  /// On success the highest index up to which the logs are known to match and the receiver has persisted its log;
+  /// otherwise the previous index that the leader should try next.
   LogIndex m_index = 0;
-  /// The value from the request; 0 if the receiver did not accept the sender as leader.
+  /// The value from the latest request; 0 if the receiver did not accept the sender as leader.
   std::int64_t m_sent_ns = 0;
 
   friend bool operator==(const AppendReply&, const AppendReply&) = default;
@@ -264,6 +264,22 @@
   void serialize(Archive& /*archive*/) {}
 };
 
+/// Tells the leader that the entries of an `AppendRequest` have arrived and are not persisted yet. It proves contact
+/// and lets the leader send what follows; an `AppendReply` vouches for the entries once they are persisted.
+struct AppendReceipt {
+  /// The highest index up to which the logs are known to match, in memory.
+  LogIndex m_index = 0;
+  /// The value from the request.
+  std::int64_t m_sent_ns = 0;
+
+  friend bool operator==(const AppendReceipt&, const AppendReceipt&) = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(m_index, m_sent_ns);
+  }
+};
+
 /// A message between control hosts.
 struct RaftMessage {
   RaftPeer m_from;
@@ -272,7 +288,7 @@
   /// The sender's term; the next term in a pre-vote request, 0 in a `JoinRequest`.
   Term m_term = 0;
   std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, JoinRequest,
-               TimeoutNow, StopNotice, Invitation>
+               TimeoutNow, StopNotice, Invitation, AppendReceipt>
       m_body;
 
   friend bool operator==(const RaftMessage&, const RaftMessage&) = default;
--- a/include/fighatch/raft_node.h
+++ b/include/fighatch/raft_node.h
@@ -67,16 +67,25 @@
   /// With open admission: a voter that has not acknowledged a request for this long may be removed or replaced by
   /// another host.
   Duration m_replace_silent_after = std::chrono::milliseconds(2000);
+  /// Limit on the payload bytes that a member is sent beyond the entries that it has persisted. It bounds the memory of
+  /// a member whose disk is slow.
+  std::size_t m_max_unpersisted_bytes_of_member = std::size_t{4} << 20U;
+  /// Limit on the payload bytes in the leader's log that it has not persisted; above it `RaftNode::Propose` refuses.
+  /// Eight proposals of the largest size fit, since as many may come at the same time.
+  std::size_t m_max_unpersisted_bytes_of_leader = std::size_t{32} << 20U;
+  /// A host whose write has been running for this long takes no part in the group until it ends, so that another host
+  /// leads and a successor may replace it. Writes of a disk that is only slow end well before.
+  Duration m_stalled_write_after = std::chrono::seconds(10);
   /// With open admission: how many voters may lose their disks at a time. No removal of silent voters that may come
   /// back leaves fewer voters than outlast that.
   std::size_t m_tolerated_lost_disks = 1;
 };
 
-/// The effects of the inputs since the last `TakeOutput`. The caller must carry them out in this order: persist
-/// (`Persist`), send, apply.
+/// The effects of the inputs since the last `TakeOutput`. Messages may be sent and entries applied at once. What is to
+/// be persisted may take as long as the disk needs; see `RaftNode::OnPersisted`.
 struct RaftOutput {
   std::optional<RaftVote> m_vote;
-  /// Replaces the log and the applied state; it is handled before `m_entries` and `m_committed`.
+  /// Replaces the log and the applied state; it is persisted before `m_entries` and applied before `m_committed`.
   std::optional<RaftSnapshot> m_snapshot;
   /// Entries to store with `LogStorage::Append`, which replaces stored entries at the same indexes and above.
   std::vector<LogEntry> m_entries;
@@ -87,21 +96,31 @@
   std::vector<std::pair<std::uint64_t, LogIndex>> m_passed_read_barriers;
   /// Join requests that this host refused as leader, for the log.
   std::vector<std::pair<RaftPeer, JoinRefusal>> m_refused_joins;
+
+  /// True if there is something for `Persist`.
+  [[nodiscard]] bool HasDataToPersist() const noexcept { return m_vote || m_snapshot || !m_entries.empty(); }
 };
 
 /// The Raft state machine of one control host, with pre-vote, leader lease, learners, snapshots, leadership transfer
 /// and membership changes, one at a time. It does no I/O and reads no clock: the caller passes in the time and the
-/// messages, takes the output, persists it, and only then sends and applies it.
+/// messages, takes the output, and reports when the output's data is persisted.
 ///
 /// \code
 /// node.Receive(now, message);
 /// RaftOutput output = node.TakeOutput();
-/// if (!IsOk(Persist(output, storage))) Stop();
 /// for (const RaftMessage& message : output.m_messages) Send(message);
+/// if (output.m_snapshot) Restore(*output.m_snapshot);
 /// for (const LogEntry& entry : output.m_committed) Apply(entry);
+/// if (output.HasDataToPersist()) {
+///   if (!IsOk(Persist(output, storage))) Stop();
+///   node.OnPersisted(now);
+/// }
 /// \endcode
 ///
-/// The caller may pass in several inputs before it calls `TakeOutput`; one sync then covers all of them.
+/// The caller may persist on another thread and go on with inputs and outputs meanwhile: heartbeats and their replies
+/// do not wait for the disk. Votes, terms and entries are answered for, and counted, only after `OnPersisted`. What is
+/// to be persisted while a write is in progress is part of the first output after it, so that one write covers all of
+/// it.
 class RaftNode {
  public:
   /// Starts from the persistent state. The node grants no vote for one election timeout, since it may have acknowledged
@@ -116,7 +135,7 @@
 
   /// Appends a payload to the leader's log and returns its index and term. It is accepted once an entry with this index
   /// and term appears in `RaftOutput::m_committed`. Errors: `kTicketNotLeader`, `kTicketTooLarge` for a payload above
-  /// `kMaxEntryPayloadBytes`.
+  /// `kMaxEntryPayloadBytes`, `kTicketNoQuorum` while too much waits for this host's disk.
   [[nodiscard]] Result<std::pair<LogIndex, Term>> Propose(TimePoint now, std::string payload);
 
   /// Hands leadership to a voter as soon as one has the complete log; of several, to the one heard from most recently.
@@ -148,9 +167,13 @@
   /// from the leader within the last election timeout.
   [[nodiscard]] bool HasQuorum(TimePoint now) const;
 
-  /// Returns and clears the effects of the inputs since the last call.
+  /// Returns and clears the effects of the inputs since the last call. While a write is in progress it leaves out what
+  /// is to be persisted.
   [[nodiscard]] RaftOutput TakeOutput();
 
+  /// Ends the write that began when `TakeOutput` returned data to persist: all of that data is persisted.
+  void OnPersisted(TimePoint now);
+
   /// The time at which `Tick` must be called next.
   [[nodiscard]] TimePoint NextDeadline() const noexcept;
   [[nodiscard]] RaftRole Role() const noexcept { return m_role; }
@@ -159,6 +182,8 @@
   [[nodiscard]] std::optional<RaftPeer> Leader() const noexcept { return m_leader; }
   [[nodiscard]] LogIndex CommitIndex() const noexcept { return m_commit_index; }
   [[nodiscard]] const RaftLog& Log() const noexcept { return m_log; }
+  /// The index up to which this host has persisted its log. Committed entries may be ahead of it.
+  [[nodiscard]] LogIndex PersistedIndex() const noexcept { return m_persisted_index; }
   [[nodiscard]] const RaftPeer& Self() const noexcept { return m_self; }
   /// The latest configuration in the log. It is in effect even before it is committed.
   [[nodiscard]] const RaftConfiguration& Configuration() const noexcept { return m_configurations.back().second; }
@@ -188,6 +213,13 @@
     std::shared_ptr<const RaftSnapshot> m_snapshot;
     std::uint64_t m_offset = 0;
   };
+  // The caller's write in progress.
+  struct Write {
+    TimePoint m_started;
+    bool m_has_vote = false;
+    // The log is persisted up to this index once the write ends.
+    LogIndex m_last_index = 0;
+  };
   // A snapshot that is being received in chunks.
   struct IncomingSnapshot {
     LogIndex m_index = 0;
@@ -208,6 +240,7 @@
   void Handle(const RaftMessage& message, const VoteReply& reply);
   void Handle(const RaftMessage& message, const AppendRequest& request);
   void Handle(const RaftMessage& message, const AppendReply& reply);
+  void Handle(const RaftMessage& message, const AppendReceipt& receipt);
   void Handle(const RaftMessage& message, const SnapshotChunk& chunk);
   void Handle(const RaftMessage& message, const SnapshotReply& reply);
   void Handle(const RaftMessage& message, const JoinRequest& request);
@@ -219,19 +252,31 @@
   void BecomeFollower(Term term, std::optional<RaftPeer> leader);
   void StartPreVote();
   void StartElection(bool transfer);
+  [[nodiscard]] bool IsMajority(const std::set<RaftPeer>& voters) const;
   void CountVotes();
   void BecomeLeader();
   void ResetElectionDeadline();
   [[nodiscard]] bool HeardLeaderRecently() const;
   [[nodiscard]] bool IsUpToDate(const VoteRequest& request) const;
-  void SendVoteRequests(Term term, bool pre_vote, bool transfer);
+  void SendVoteRequests(bool pre_vote, bool transfer);
   void SendVoteReply(const RaftMessage& message, const VoteRequest& request, bool granted);
   void SaveVote(Term term, RaftPeer voted_for);
+  // True if the current term and vote are persisted.
+  [[nodiscard]] bool IsVotePersisted() const { return !m_output.m_vote && !(m_write && m_write->m_has_vote); }
+  void OnVotePersisted(Duration write_time);
+
+  // True while the caller's write takes so long that this host takes no part in the group.
+  [[nodiscard]] bool IsWriteStalled() const {
+    return m_write && m_now - m_write->m_started > m_options.m_stalled_write_after;
+  }
+  // The log has changed from the index on, so that it is not persisted there, whatever is written.
+  void ForgetPersistedFrom(LogIndex index);
 
   // Replication on the leader (raft_leader.cc).
   void LeaderTick();
   void SendTo(const RaftPeer& peer, Progress& progress);
   void SendChunk(const RaftPeer& peer, Progress& progress);
+  [[nodiscard]] bool MaySendEntries(const Progress& progress) const;
   void Broadcast();
   void AppendAsLeader(EntryKind kind, std::string payload);
   void AdvanceCommit();
@@ -277,7 +322,16 @@
   void InstallSnapshot(const SnapshotChunk& chunk);
   void AddConfiguration(LogIndex index, const std::string& payload);
 
+  // Replies to the leader, unless this host cannot answer for its term: then the leader counts it as silent.
+  void ReplyToLeader(const RaftPeer& leader, decltype(RaftMessage::m_body) body);
+  // Tells the leader up to where the logs match and this host has persisted its own.
+  void ReplyWithPersisted(const RaftPeer& leader);
+  // Replies to a chunk of a snapshot that this host does not need or has installed.
+  void ReplyWithInstalled(const RaftPeer& leader, const SnapshotChunk& chunk);
+
   void Send(const RaftPeer& to, Term term, decltype(RaftMessage::m_body) body);
+  // Sends a message once the current term and vote are persisted, unless another term or vote replaces them before.
+  void SendOnceVotePersisted(const RaftPeer& to, decltype(RaftMessage::m_body) body);
   void AdvanceClock(TimePoint now) { m_now = std::max(m_now, now); }
 
   RaftOptions m_options;
@@ -291,6 +345,14 @@
   // Configurations by the index of their entry, ascending; the first one is in effect at the snapshot, or initially.
   std::vector<std::pair<LogIndex, RaftConfiguration>> m_configurations;
   LogIndex m_commit_index = 0;
+  LogIndex m_persisted_index = 0;
+  std::optional<Write> m_write;
+  // See `SendOnceVotePersisted`.
+  std::vector<RaftMessage> m_messages_after_vote;
+  // On a follower: up to where the log is known to match that of the current term's leader, and the time in the latest
+  // request.
+  LogIndex m_matched_index = 0;
+  std::int64_t m_request_sent_ns = 0;
 
   RaftRole m_role = RaftRole::kFollower;
   std::optional<RaftPeer> m_leader;
@@ -306,6 +368,9 @@
   // the next leader goes on.
   std::map<HostId, TimePoint> m_former_hosts;
   TimePoint m_invitation_deadline;
+  // Who granted a pre-vote for the next term, and who granted a vote in the current one. A vote counts also if it comes
+  // after the candidate's election timeout, since the voter may have had to wait for its disk.
+  std::set<RaftPeer> m_pre_votes;
   std::set<RaftPeer> m_votes;
   std::optional<IncomingSnapshot> m_incoming_snapshot;
 
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -7,12 +7,28 @@
 
 // Upper limit of the random part of the election deadline, in election timeouts.
 constexpr std::uint64_t kMaxElectionSpreadTimeouts = 4;
+// Upper limit of the time that the next election waits for votes that are being persisted. A host whose own disk hung
+// must not hold the group up for as long again.
+constexpr Duration kMaxVoteWait = std::chrono::seconds(8);
 
 }  // namespace
 
 void RaftNode::SaveVote(Term term, RaftPeer voted_for) {
   m_vote = {term, voted_for};
   m_output.m_vote = m_vote;
+  m_messages_after_vote.clear();
+  m_matched_index = m_commit_index;
+}
+
+void RaftNode::OnVotePersisted(Duration write_time) {
+  for (RaftMessage& message : m_messages_after_vote) m_output.m_messages.push_back(std::move(message));
+  m_messages_after_vote.clear();
+  ResetElectionDeadline();
+  // The other voters may need as long as this host for their votes, and some have received the request only now.
+  m_election_deadline += std::min(2 * write_time, kMaxVoteWait);
+  if (m_role != RaftRole::kCandidate) return;
+  m_votes.insert(m_self);
+  CountVotes();
 }
 
 void RaftNode::ResetElectionDeadline() {
@@ -28,6 +44,7 @@
   if (m_role == RaftRole::kLeader) ResetElectionDeadline();
   m_role = RaftRole::kFollower;
   m_leader = leader;
+  m_pre_votes.clear();
   m_votes.clear();
   m_progress.clear();
   m_pending_read_barriers.clear();
@@ -42,10 +59,15 @@
   return std::pair(request.m_last_term, request.m_last_index) >= std::pair(m_log.LastTerm(), m_log.LastIndex());
 }
 
-void RaftNode::SendVoteRequests(Term term, bool pre_vote, bool transfer) {
+void RaftNode::SendVoteRequests(bool pre_vote, bool transfer) {
   for (const RaftMember& member : Configuration().m_members) {
     if (!member.m_voter || member.m_peer == m_self) continue;
-    Send(member.m_peer, term, VoteRequest{pre_vote, transfer, m_log.LastIndex(), m_log.LastTerm()});
+    const VoteRequest request{pre_vote, transfer, m_log.LastIndex(), m_log.LastTerm()};
+    if (pre_vote) {
+      Send(member.m_peer, m_vote.m_term + 1, request);
+    } else {
+      SendOnceVotePersisted(member.m_peer, request);
+    }
   }
 }
 
@@ -53,9 +75,9 @@
   ResetElectionDeadline();
   m_role = RaftRole::kPreCandidate;
   m_leader.reset();
-  m_votes = {m_self};
-  SendVoteRequests(m_vote.m_term + 1, true, false);
-  CountVotes();
+  m_pre_votes = {m_self};
+  SendVoteRequests(true, false);
+  if (IsMajority(m_pre_votes)) StartElection(false);
 }
 
 void RaftNode::StartElection(bool transfer) {
@@ -64,20 +86,19 @@
   m_role = RaftRole::kCandidate;
   m_leader.reset();
   SaveVote(m_vote.m_term + 1, m_self);
-  m_votes = {m_self};
-  SendVoteRequests(m_vote.m_term, false, transfer);
-  CountVotes();
+  m_votes.clear();
+  SendVoteRequests(false, transfer);
 }
 
-void RaftNode::CountVotes() {
-  const auto granted = std::count_if(m_votes.begin(), m_votes.end(),
+bool RaftNode::IsMajority(const std::set<RaftPeer>& voters) const {
+  const auto granted = std::count_if(voters.begin(), voters.end(),
                                      [this](const RaftPeer& peer) { return Configuration().HasVoter(peer); });
-  if (static_cast<std::size_t>(granted) <= Configuration().VoterCount() / 2) return;
-  if (m_role == RaftRole::kPreCandidate) {
-    StartElection(false);
-  } else if (m_role == RaftRole::kCandidate) {
-    BecomeLeader();
-  }
+  return static_cast<std::size_t>(granted) > Configuration().VoterCount() / 2;
+}
+
+void RaftNode::CountVotes() {
+  // This host's own vote is among them once it is persisted.
+  if (m_votes.contains(m_self) && IsMajority(m_votes)) BecomeLeader();
 }
 
 void RaftNode::Handle(const RaftMessage& message, const VoteRequest& request) {
@@ -85,6 +106,8 @@
   // the group, and it is what the leader's lease relies on.
   if (HeardLeaderRecently() && !request.m_leadership_transfer) return;
   if (request.m_pre_vote) {
+    // A host that still persists a vote has an election to wait for, and it could not vote in another one soon.
+    if (!IsVotePersisted() || IsWriteStalled()) return;
     SendVoteReply(message, request, message.m_term > m_vote.m_term && IsUpToDate(request));
     return;
   }
@@ -99,27 +122,34 @@
 }
 
 void RaftNode::SendVoteReply(const RaftMessage& message, const VoteRequest& request, bool granted) {
-  Send(message.m_from, m_vote.m_term, VoteReply{request.m_pre_vote, granted, message.m_term});
+  SendOnceVotePersisted(message.m_from, VoteReply{request.m_pre_vote, granted, message.m_term});
 }
 
 void RaftNode::Handle(const RaftMessage& message, const VoteReply& reply) {
   if (message.m_term > m_vote.m_term) return BecomeFollower(message.m_term, std::nullopt);
-  const RaftRole requested_as = reply.m_pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
-  const Term requested_term = reply.m_pre_vote ? m_vote.m_term + 1 : m_vote.m_term;
-  if (m_role != requested_as || reply.m_request_term != requested_term || !reply.m_granted) return;
-  m_votes.insert(message.m_from);
-  CountVotes();
+  const bool is_candidate = m_role == RaftRole::kCandidate || m_role == RaftRole::kPreCandidate;
+  if (!is_candidate || !reply.m_granted) return;
+  if (!reply.m_pre_vote) {
+    if (reply.m_request_term != m_vote.m_term || m_vote.m_voted_for != m_self) return;
+    m_votes.insert(message.m_from);
+    return CountVotes();
+  }
+  if (m_role != RaftRole::kPreCandidate || reply.m_request_term != m_vote.m_term + 1) return;
+  m_pre_votes.insert(message.m_from);
+  if (IsMajority(m_pre_votes)) StartElection(false);
 }
 
 void RaftNode::Handle(const RaftMessage& message, const TimeoutNow& /*request*/) {
   if (message.m_term != m_vote.m_term || m_role == RaftRole::kLeader) return;
-  if (Configuration().HasVoter(m_self)) StartElection(true);
+  if (Configuration().HasVoter(m_self) && !IsWriteStalled()) StartElection(true);
 }
 
 void RaftNode::BecomeLeader() {
   m_role = RaftRole::kLeader;
   m_failed_elections = 0;
   m_leader = m_self;
+  m_pre_votes.clear();
+  m_votes.clear();
   m_progress.clear();
   m_transfer_deadline.reset();
   m_lease_relinquished = false;
--- a/src/consensus/raft_follower.cc
+++ b/src/consensus/raft_follower.cc
@@ -30,16 +30,21 @@
   m_last_leader_contact = m_now;
   m_failed_elections = 0;
   ResetElectionDeadline();
-  if (m_stop_notice) Send(message.m_from, m_vote.m_term, *m_stop_notice);
+  if (m_stop_notice) ReplyToLeader(message.m_from, *m_stop_notice);
   return true;
 }
 
+void RaftNode::ReplyToLeader(const RaftPeer& leader, decltype(RaftMessage::m_body) body) {
+  if (IsVotePersisted() && !IsWriteStalled()) Send(leader, m_vote.m_term, std::move(body));
+}
+
+void RaftNode::ReplyWithPersisted(const RaftPeer& leader) {
+  ReplyToLeader(leader, AppendReply{true, std::min(m_matched_index, m_persisted_index), m_request_sent_ns});
+}
+
 void RaftNode::Handle(const RaftMessage& message, const AppendRequest& request) {
   if (!IsWellFormed(request, message.m_term)) return;
-  if (!AcceptLeader(message)) {
-    Send(message.m_from, m_vote.m_term, AppendReply{false, 0, 0});
-    return;
-  }
+  if (!AcceptLeader(message)) return ReplyToLeader(message.m_from, AppendReply{false, 0, 0});
   const LogIndex previous_index = request.m_previous_index;
   const std::optional<Term> own_term = m_log.TermAt(previous_index);
   // Entries up to the commit index match on all hosts, so no check is needed there; their terms may have been
@@ -48,19 +53,22 @@
     // Skips all entries of the conflicting term at once.
     LogIndex retry_index = std::min(m_log.LastIndex(), previous_index - 1);
     while (retry_index > m_commit_index && m_log.TermAt(retry_index) == own_term) --retry_index;
-    Send(message.m_from, m_vote.m_term, AppendReply{false, std::max(retry_index, m_commit_index), request.m_sent_ns});
-    return;
+    return ReplyToLeader(message.m_from, AppendReply{false, std::max(retry_index, m_commit_index), request.m_sent_ns});
   }
   for (const LogEntry& entry : request.m_entries) AppendFromLeader(entry);
   const LogIndex matched_index = previous_index + request.m_entries.size();
   CommitUpTo(std::min(request.m_commit_index, matched_index));
-  Send(message.m_from, m_vote.m_term, AppendReply{true, std::max(matched_index, m_commit_index), request.m_sent_ns});
+  m_matched_index = std::max({m_matched_index, matched_index, m_commit_index});
+  m_request_sent_ns = request.m_sent_ns;
+  if (m_matched_index <= m_persisted_index) return ReplyWithPersisted(message.m_from);
+  ReplyToLeader(message.m_from, AppendReceipt{m_matched_index, request.m_sent_ns});
 }
 
 void RaftNode::AppendFromLeader(const LogEntry& entry) {
   if (entry.m_index <= m_commit_index || m_log.TermAt(entry.m_index) == entry.m_term) return;
   if (entry.m_index <= m_log.LastIndex()) {
     m_log.TruncateFrom(entry.m_index);
+    ForgetPersistedFrom(entry.m_index);
     std::erase_if(m_output.m_entries, [&entry](const LogEntry& pending) { return pending.m_index >= entry.m_index; });
     while (m_configurations.size() > 1 && m_configurations.back().first >= entry.m_index) m_configurations.pop_back();
   }
@@ -74,12 +82,12 @@
 }
 
 void RaftNode::Handle(const RaftMessage& message, const SnapshotChunk& chunk) {
-  if (!AcceptLeader(message)) return Send(message.m_from, m_vote.m_term, SnapshotReply{});
-  SnapshotReply reply{chunk.m_index, 0, true, chunk.m_sent_ns};
+  if (!AcceptLeader(message)) return ReplyToLeader(message.m_from, SnapshotReply{});
   if (chunk.m_index > m_commit_index && m_log.TermAt(chunk.m_index) == chunk.m_snapshot_term) CommitUpTo(chunk.m_index);
+  m_request_sent_ns = chunk.m_sent_ns;
   if (chunk.m_index <= m_commit_index) {
     m_incoming_snapshot.reset();
-    return Send(message.m_from, m_vote.m_term, reply);
+    return ReplyWithInstalled(message.m_from, chunk);
   }
   const bool is_same_snapshot = m_incoming_snapshot && m_incoming_snapshot->m_index == chunk.m_index &&
                                 m_incoming_snapshot->m_term == chunk.m_snapshot_term &&
@@ -90,9 +98,16 @@
                     m_incoming_snapshot->m_data.size() + chunk.m_bytes.size() <= chunk.m_total_bytes;
   if (fits && chunk.m_offset == m_incoming_snapshot->m_data.size()) m_incoming_snapshot->m_data += chunk.m_bytes;
   if (m_incoming_snapshot->m_data.size() == chunk.m_total_bytes) InstallSnapshot(chunk);
-  reply.m_installed = m_commit_index >= chunk.m_index;
-  reply.m_next_offset = m_incoming_snapshot ? m_incoming_snapshot->m_data.size() : 0;
-  Send(message.m_from, m_vote.m_term, reply);
+  if (m_commit_index >= chunk.m_index) return ReplyWithInstalled(message.m_from, chunk);
+  const std::uint64_t next_offset = m_incoming_snapshot ? m_incoming_snapshot->m_data.size() : 0;
+  ReplyToLeader(message.m_from, SnapshotReply{chunk.m_index, next_offset, false, chunk.m_sent_ns});
+}
+
+void RaftNode::ReplyWithInstalled(const RaftPeer& leader, const SnapshotChunk& chunk) {
+  m_matched_index = std::max(m_matched_index, m_commit_index);
+  const bool is_persisted = m_persisted_index >= chunk.m_index;
+  ReplyToLeader(leader,
+                SnapshotReply{chunk.m_index, is_persisted ? 0 : chunk.m_total_bytes, is_persisted, chunk.m_sent_ns});
 }
 
 void RaftNode::InstallSnapshot(const SnapshotChunk& chunk) {
@@ -101,6 +116,7 @@
   if (HashText(incoming.m_data) != chunk.m_digest) return;
   m_snapshot = std::make_shared<const RaftSnapshot>(
       RaftSnapshot{chunk.m_index, chunk.m_snapshot_term, chunk.m_configuration, std::move(incoming.m_data)});
+  ForgetPersistedFrom(m_commit_index + 1);
   m_log.Reset(chunk.m_index, chunk.m_snapshot_term);
   m_configurations.assign(1, {chunk.m_index, chunk.m_configuration});
   m_commit_index = chunk.m_index;
--- a/src/consensus/raft_leader.cc
+++ b/src/consensus/raft_leader.cc
@@ -7,6 +7,7 @@
 
 void RaftNode::LeaderTick() {
   if (m_now < m_heartbeat_deadline) return;
+  if (IsWriteStalled()) return BecomeFollower(m_vote.m_term, std::nullopt);
   if (Configuration().VoterCount() > 1 && m_now - QuorumAckedSendTime() > m_options.m_election_timeout) {
     // Without a majority this leader cannot commit anything. It steps down so that callers turn to another host.
     return BecomeFollower(m_vote.m_term, std::nullopt);
@@ -30,11 +31,21 @@
   const std::optional<Term> previous_term = m_log.TermAt(previous_index);
   if (!previous_term) return SendChunk(peer, progress);
   progress.m_snapshot.reset();
-  AppendRequest request{previous_index, *previous_term, m_commit_index, m_now.time_since_epoch().count(),
-                        m_log.Slice(progress.m_next_index, m_options.m_max_append_bytes)};
+  AppendRequest request{previous_index, *previous_term, m_commit_index, m_now.time_since_epoch().count(), {}};
+  if (MaySendEntries(progress)) {
+    request.m_entries = m_log.Slice(progress.m_next_index, m_options.m_max_append_bytes);
+  }
   Send(peer, m_vote.m_term, std::move(request));
 }
 
+bool RaftNode::MaySendEntries(const Progress& progress) const {
+  if (progress.m_next_index > m_log.LastIndex()) return false;
+  if (progress.m_next_index <= progress.m_match_index + 1) return true;
+  const std::size_t unpersisted =
+      m_log.PayloadBytesAfter(progress.m_match_index) - m_log.PayloadBytesAfter(progress.m_next_index - 1);
+  return unpersisted < m_options.m_max_unpersisted_bytes_of_member;
+}
+
 void RaftNode::SendChunk(const RaftPeer& peer, Progress& progress) {
   if (!progress.m_snapshot || progress.m_snapshot->m_index < progress.m_match_index) {
     progress.m_snapshot = m_snapshot;
@@ -62,7 +73,7 @@
   std::vector<LogIndex> matches;
   for (const RaftMember& member : Configuration().m_members) {
     if (!member.m_voter) continue;
-    matches.push_back(member.m_peer == m_self ? m_log.LastIndex() : m_progress.at(member.m_peer).m_match_index);
+    matches.push_back(member.m_peer == m_self ? m_persisted_index : m_progress.at(member.m_peer).m_match_index);
   }
   if (matches.empty()) return;
   std::sort(matches.begin(), matches.end(), std::greater<>());
@@ -115,18 +126,27 @@
   }
 }
 
+void RaftNode::Handle(const RaftMessage& message, const AppendReceipt& receipt) {
+  Progress* progress = ProgressForReply(message);
+  if (progress == nullptr || receipt.m_index > m_log.LastIndex()) return;
+  RecordAck(progress, receipt.m_sent_ns);
+  progress->m_request_in_flight = false;
+  progress->m_next_index = std::max(progress->m_next_index, receipt.m_index + 1);
+}
+
 void RaftNode::Handle(const RaftMessage& message, const SnapshotReply& reply) {
   Progress* progress = ProgressForReply(message);
   if (progress == nullptr) return;
   RecordAck(progress, reply.m_sent_ns);
   if (!progress->m_snapshot || progress->m_snapshot->m_index != reply.m_index) return;
-  progress->m_request_in_flight = false;
   if (reply.m_installed) {
     progress->m_match_index = std::max(progress->m_match_index, reply.m_index);
     progress->m_next_index = progress->m_match_index + 1;
     progress->m_snapshot.reset();
   } else {
     progress->m_offset = std::min<std::uint64_t>(reply.m_next_offset, progress->m_snapshot->m_data.size());
+    // The member has all of it and still persists it; it tells when it is done. Until then it gets heartbeats only.
+    if (progress->m_offset == progress->m_snapshot->m_data.size()) return;
   }
   SendTo(message.m_from, *progress);
 }
--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -1,5 +1,7 @@
 #include "fighatch/raft_log.h"
 
+#include <algorithm>
+
 namespace fighatch {
 namespace {
 
@@ -32,6 +34,12 @@
   }
 }
 
+std::size_t RaftLog::PayloadBytesAfter(LogIndex index) const {
+  std::size_t bytes = 0;
+  for (LogIndex at = std::max(index, m_base_index) + 1; at <= LastIndex(); ++at) bytes += At(at).m_payload.size();
+  return bytes;
+}
+
 LogIndex RaftLog::BaseFor(LogIndex index, std::uint64_t max_entries, std::size_t max_bytes) const {
   std::size_t bytes = 0;
   LogIndex base = index;
--- a/src/consensus/raft_membership.cc
+++ b/src/consensus/raft_membership.cc
@@ -111,7 +111,7 @@
   AdvanceClock(now);
   m_stop_notice = StopNotice{m_role == RaftRole::kLeader ? SilentVoters() : std::vector<RaftPeer>{}};
   TransferLeadership(now);
-  if (m_role != RaftRole::kLeader && m_leader) Send(*m_leader, m_vote.m_term, *m_stop_notice);
+  if (m_role != RaftRole::kLeader && m_leader) ReplyToLeader(*m_leader, *m_stop_notice);
 }
 
 void RaftNode::Handle(const RaftMessage& message, const StopNotice& notice) {
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -36,6 +36,7 @@
     }
     m_log.Append(std::move(entry));
   }
+  m_persisted_index = m_log.LastIndex();
   CommitUpTo(std::min(stored.m_known_commit_index, m_log.LastIndex()));
   ResetElectionDeadline();
 }
@@ -45,7 +46,7 @@
   if (m_role == RaftRole::kLeader) return LeaderTick();
   if (NeedsToJoin()) RequestJoin();
   if (m_now < m_election_deadline) return;
-  if (Configuration().HasVoter(m_self)) {
+  if (Configuration().HasVoter(m_self) && IsVotePersisted() && !IsWriteStalled()) {
     StartPreVote();
   } else {
     ResetElectionDeadline();
@@ -66,6 +67,9 @@
   AdvanceClock(now);
   if (payload.size() > kMaxEntryPayloadBytes) return MakeError(ErrorCode::kTicketTooLarge);
   if (m_role != RaftRole::kLeader || m_transfer_deadline) return MakeError(ErrorCode::kTicketNotLeader);
+  if (m_log.PayloadBytesAfter(m_persisted_index) > m_options.m_max_unpersisted_bytes_of_leader) {
+    return MakeError(ErrorCode::kTicketNoQuorum, "the disk of the leader is behind; send it again later");
+  }
   AppendAsLeader(EntryKind::kPayload, std::move(payload));
   return std::pair(m_log.LastIndex(), m_vote.m_term);
 }
@@ -87,12 +91,44 @@
   if (m_role == RaftRole::kLeader) {
     for (auto& [peer, progress] : m_progress) {
       // A new commit index is sent at once, not with the next heartbeat: followers serve the state to balancers.
-      const bool has_unsent =
-          progress.m_next_index <= m_log.LastIndex() || progress.m_sent_commit_index < m_commit_index;
-      if (!progress.m_request_in_flight && has_unsent) SendTo(peer, progress);
+      if (progress.m_request_in_flight) continue;
+      if (progress.m_sent_commit_index < m_commit_index || MaySendEntries(progress)) SendTo(peer, progress);
     }
   }
-  return std::exchange(m_output, {});
+  RaftOutput output = std::exchange(m_output, {});
+  if (!output.HasDataToPersist()) return output;
+  if (!m_write) {
+    m_write = Write{m_now, output.m_vote.has_value(), m_log.LastIndex()};
+    return output;
+  }
+  m_output.m_vote = std::exchange(output.m_vote, {});
+  m_output.m_entries = std::exchange(output.m_entries, {});
+  if (output.m_snapshot) {
+    // The entries are applied after the snapshot.
+    m_output.m_snapshot = std::exchange(output.m_snapshot, {});
+    m_output.m_committed = std::exchange(output.m_committed, {});
+  }
+  return output;
+}
+
+void RaftNode::OnPersisted(TimePoint now) {
+  AdvanceClock(now);
+  if (!m_write) return;
+  const Write write = *std::exchange(m_write, {});
+  m_persisted_index = std::max(m_persisted_index, write.m_last_index);
+  if (write.m_has_vote && !m_output.m_vote) OnVotePersisted(m_now - write.m_started);
+  if (m_role == RaftRole::kLeader) {
+    AdvanceCommit();
+    AdvanceMembership();
+    ContinueTransfer();
+  } else if (m_leader) {
+    ReplyWithPersisted(*m_leader);
+  }
+}
+
+void RaftNode::ForgetPersistedFrom(LogIndex index) {
+  m_persisted_index = std::min(m_persisted_index, index - 1);
+  if (m_write) m_write->m_last_index = std::min(m_write->m_last_index, index - 1);
 }
 
 TimePoint RaftNode::NextDeadline() const noexcept {
@@ -105,6 +141,11 @@
   m_output.m_messages.push_back({m_self, to, term, std::move(body)});
 }
 
+void RaftNode::SendOnceVotePersisted(const RaftPeer& to, decltype(RaftMessage::m_body) body) {
+  if (IsVotePersisted()) return Send(to, m_vote.m_term, std::move(body));
+  m_messages_after_vote.push_back({m_self, to, m_vote.m_term, std::move(body)});
+}
+
 void RaftNode::AddConfiguration(LogIndex index, const std::string& payload) {
   Result<RaftConfiguration> decoded = wire::Decode<RaftConfiguration>(std::as_bytes(std::span(payload)));
   if (!IsOk(decoded)) return;
--- a/src/control/log_replica.cc
+++ b/src/control/log_replica.cc
@@ -1,10 +1,7 @@
 #include "control/log_replica.h"
 
 #include <glog/logging.h>
-#include <time.h>
-#include <unistd.h>
 
-#include <boost/fiber/operations.hpp>
 #include <sstream>
 
 #include "daemon/random_bits.h"
@@ -18,17 +15,7 @@
 constexpr std::size_t kSnapshotLogBytes = 8 << 20;
 // Limit on the proposals that wait for a majority.
 constexpr std::size_t kMaxPending = 4096;
-constexpr int kStorageExitCode = 4;
-// Delay before a process whose storage fails exits, so that it is not restarted many times a second.
-constexpr std::chrono::milliseconds kStorageExitDelay{1000};
-
-bool NothingToPersist(const RaftOutput& output) {
-  return !output.m_vote && !output.m_snapshot && output.m_entries.empty();
-}
-
-// Interval at which a write is repeated while the disk has no room.
-constexpr std::chrono::milliseconds kStorageRetryInterval{200};
-// Inputs that wait meanwhile; later ones are dropped, since the senders repeat them.
+// Limit on the inputs that wait while the disk has no room; later ones are dropped, since the senders repeat them.
 constexpr std::size_t kMaxInputs = 8192;
 
 }  // namespace
@@ -36,9 +23,9 @@
 LogReplica::LogReplica(const LogReplicaOptions& options, LogStorage* storage, StoredLog stored,
                        ReplicatedStateMachine* machine, MessageTransport* transport)
     : m_options(options),
-      m_storage(storage),
       m_state_machine(machine),
       m_transport(transport),
+      m_writer(storage),
       m_node(options.m_raft, stored, Now(), Random(RandomBits())) {
   if (stored.m_snapshot) Restore(*stored.m_snapshot);
 }
@@ -48,6 +35,7 @@
 void LogReplica::Start(ChangeObserver observer) {
   m_observer = std::move(observer);
   m_transport->Start([this](const std::vector<std::byte>& bytes) { ReceiveMessage(bytes); });
+  m_writer.Start([this] { m_input_added.notify_one(); });
   m_fiber = boost::fibers::fiber([this] { Loop(); });
 }
 
@@ -55,6 +43,7 @@
   m_stopping = true;
   m_input_added.notify_all();
   if (m_fiber.joinable()) m_fiber.join();
+  m_writer.Stop();
   m_transport->Stop();
 }
 
@@ -81,6 +70,8 @@
   Replay();
   while (!m_stopping) {
     WaitForInput();
+    if (m_stopping) return;
+    if (m_writer.TakeWritten()) m_node.OnPersisted(Now());
     while (!m_inputs.empty()) {
       const Input input = std::move(m_inputs.front());
       m_inputs.pop_front();
@@ -106,46 +97,16 @@
 
 void LogReplica::WaitForInput() {
   std::unique_lock<boost::fibers::mutex> lock(m_mutex);
-  if (!m_inputs.empty() || m_stopping) return;
+  m_input_added.wait(lock, [this] { return !m_writer.IsFull() || m_stopping; });
+  if (!m_inputs.empty() || m_writer.HasWritten() || m_stopping) return;
   m_input_added.wait_until(lock, steady_clock::now() + (m_node.NextDeadline() - Now()));
 }
 
-void LogReplica::ExitOnStorageError(const Error& error) {
-  LOG(ERROR) << "event=storage_failed " << ToString(error) << " next=\"the process stops\"";
-  google::FlushLogFiles(google::INFO);
-  usleep(static_cast<useconds_t>(std::chrono::microseconds(kStorageExitDelay).count()));
-  _exit(kStorageExitCode);
-}
-
-Status LogReplica::PersistOnce(const std::function<Status()>& write) {
-  const auto started = steady_clock::now();
-  Status status = m_worker.Run(write);
-  m_persist_latency.Add(steady_clock::now() - started);
-  return status;
-}
-
-void LogReplica::PersistOrExit(const std::function<Status()>& write) {
-  Status status = PersistOnce(write);
-  if (IsOk(status)) return;
-  if (ErrorOf(status).m_code != ErrorCode::kStorageFull) ExitOnStorageError(ErrorOf(status));
-  LOG(ERROR) << "event=storage_full " << ToString(ErrorOf(status))
-             << " next=\"this host takes no part in the group until there is room\"";
-  while (!IsOk(status) && ErrorOf(status).m_code == ErrorCode::kStorageFull && !m_stopping) {
-    boost::this_fiber::sleep_for(kStorageRetryInterval);
-    status = PersistOnce(write);
-  }
-  if (IsOk(status)) {
-    LOG(INFO) << "event=storage_has_room";
-  } else if (!m_stopping) {
-    ExitOnStorageError(ErrorOf(status));
-  }
-}
-
 void LogReplica::Step() {
-  const RaftOutput output = m_node.TakeOutput();
-  if (!NothingToPersist(output)) PersistOrExit([this, &output] { return Persist(output, m_storage); });
-  // A stop while the disk has no room: nothing may be sent or applied that is not persisted.
-  if (m_stopping && !NothingToPersist(output)) return;
+  RaftOutput output = m_node.TakeOutput();
+  if (output.HasDataToPersist()) {
+    m_writer.WriteOutput({output.m_vote, output.m_snapshot, std::move(output.m_entries), {}, {}, {}, {}});
+  }
   for (const RaftMessage& message : output.m_messages) {
     m_transport->Send(message.m_to.m_host, EncodeRaftMessage(message));
   }
@@ -164,7 +125,7 @@
   if (!IsOk(status)) {
     // The checksum is valid, so another release wrote the snapshot in a format that this one cannot read.
     LOG(ERROR) << "event=snapshot_refused next=\"run the newer release\"";
-    ExitOnStorageError(ErrorOf(status));
+    LogWriter::ExitOnError(ErrorOf(status));
   }
   m_applied = snapshot.m_index;
   m_snapshot_index = snapshot.m_index;
@@ -203,19 +164,13 @@
 void LogReplica::MaybeCompact() {
   const bool many_entries = m_applied >= m_snapshot_index + m_options.m_snapshot_entries;
   if (!many_entries && m_bytes_since_snapshot < kSnapshotLogBytes) return;
+  // A slow disk gets no further snapshot before it has the last one.
+  if (m_writer.IsSavingSnapshot()) return;
   const auto [snapshot, keep_from] = m_node.Compact(m_applied, m_state_machine->EncodeSnapshot());
   if (!snapshot) return;
   m_snapshot_index = m_applied;
   m_bytes_since_snapshot = 0;
-  const Status status =
-      PersistOnce([&, kept = keep_from, saved = snapshot] { return m_storage->SaveSnapshot(*saved, kept); });
-  if (!IsOk(status) && ErrorOf(status).m_code != ErrorCode::kStorageFull) ExitOnStorageError(ErrorOf(status));
-  if (!IsOk(status)) {
-    // The log on the disk stays whole; the next snapshot replaces it.
-    LOG(WARNING) << "event=snapshot_not_saved index=" << snapshot->m_index << " " << ToString(ErrorOf(status));
-    return;
-  }
-  LOG(INFO) << "event=snapshot_saved index=" << snapshot->m_index << " bytes=" << snapshot->m_data.size();
+  m_writer.SaveSnapshot(snapshot, keep_from);
 }
 
 void LogReplica::LogRoleChange() {
@@ -271,8 +226,8 @@
   if (IsOk(proposed)) {
     m_pending[ValueOf(proposed)] = pending;
   } else {
-    const bool is_refused_for_good = ErrorOf(proposed).m_code == ErrorCode::kTicketTooLarge;
-    pending->m_result = is_refused_for_good ? ErrorOf(proposed) : NotLeaderError();
+    const bool is_not_leader = ErrorOf(proposed).m_code == ErrorCode::kTicketNotLeader;
+    pending->m_result = is_not_leader ? NotLeaderError() : ErrorOf(proposed);
   }
 }
 
--- a/src/control/log_replica.h
+++ b/src/control/log_replica.h
@@ -16,8 +16,8 @@
 #include <utility>
 #include <vector>
 
+#include "control/log_writer.h"
 #include "control/replicated_state_machine.h"
-#include "daemon/blocking_worker.h"
 #include "daemon/clock.h"
 #include "daemon/message_transport.h"
 #include "fighatch/log_storage.h"
@@ -37,9 +37,10 @@
 };
 
 /// Runs the `RaftNode` of a control host and the `ReplicatedStateMachine` behind it. One fiber owns both: it processes
-/// all queued inputs, persists the output with one sync on a worker thread, and then sends the messages and applies the
-/// committed entries. A storage error ends the process. While the disk has no room the fiber repeats the write and does
-/// nothing else: the host sends nothing, its leases end, and the others go on without it.
+/// all queued inputs, sends the messages, applies the committed entries, and leaves what is to be persisted to a
+/// `LogWriter`, so that heartbeats and their replies do not wait for the disk. A storage error ends the process. While
+/// the disk has no room the fiber does nothing: the host sends nothing, its leases end, and the others go on without
+/// it.
 class LogReplica {
  public:
   /// Called after the replay at the start, and after each step that applied entries or restored a snapshot.
@@ -78,7 +79,7 @@
   [[nodiscard]] LogIndex AppliedIndex() const noexcept { return m_applied; }
 
   /// Durations of writes to the storage, syncs included.
-  [[nodiscard]] const observe::LatencyHistogram& PersistLatency() const noexcept { return m_persist_latency; }
+  [[nodiscard]] const observe::LatencyHistogram& PersistLatency() const noexcept { return m_writer.Latency(); }
 
  private:
   using Input = std::function<void(TimePoint now)>;
@@ -94,9 +95,6 @@
   void WaitForInput();
   void Replay();
   void Step();
-  void PersistOrExit(const std::function<Status()>& write);
-  [[nodiscard]] Status PersistOnce(const std::function<Status()>& write);
-  [[noreturn]] static void ExitOnStorageError(const Error& error);
   void Restore(const RaftSnapshot& snapshot);
   void Apply(const LogEntry& entry);
   void CompletePending(const LogEntry& entry, const std::any& result);
@@ -108,13 +106,11 @@
   [[nodiscard]] Error NotLeaderError() const;
 
   LogReplicaOptions m_options;
-  LogStorage* m_storage;
   ReplicatedStateMachine* m_state_machine;
   MessageTransport* m_transport;
   ChangeObserver m_observer;
-  BlockingWorker m_worker;
+  LogWriter m_writer;
   RaftNode m_node;
-  observe::LatencyHistogram m_persist_latency;
   LogIndex m_applied = 0;
   LogIndex m_snapshot_index = 0;
   std::size_t m_bytes_since_snapshot = 0;
--- a/src/control/steering_control_storage.cc
+++ b/src/control/steering_control_storage.cc
@@ -1,5 +1,6 @@
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <utility>
 
@@ -90,15 +91,16 @@
 }
 
 void SteeringControl::SaveCommitMark() {
-  const LogIndex applied = m_log_replica->AppliedIndex();
-  if (applied == m_saved_commit_index) return;
+  // Beyond the persisted log the disk may still hold another entry at the index of a committed one.
+  const LogIndex committed = std::min(m_log_replica->AppliedIndex(), m_log_replica->Node().PersistedIndex());
+  if (committed == m_saved_commit_index) return;
   const DiskId disk = m_log_replica->Node().Self().m_disk;
-  const Status status = m_restart_state_worker.Run([&] { return m_commit_mark.Save(disk, applied); });
+  const Status status = m_restart_state_worker.Run([&] { return m_commit_mark.Save(disk, committed); });
   if (!IsOk(status)) {
-    LOG(WARNING) << "event=commit_mark_not_saved index=" << applied << " " << ToString(ErrorOf(status));
+    LOG(WARNING) << "event=commit_mark_not_saved index=" << committed << " " << ToString(ErrorOf(status));
     return;
   }
-  m_saved_commit_index = applied;
+  m_saved_commit_index = committed;
 }
 
 void SteeringControl::LoadTargets() {
--- a/tests/consensus_membership_test.cc
+++ b/tests/consensus_membership_test.cc
@@ -3,164 +3,16 @@
 
 #include <ostream>
 
-#include "raft_cluster.h"
+#include "open_group_deployment.h"
 
 namespace fighatch {
 namespace {
 
-using testing_support::MakeTicket;
+using testing_support::Deployment;
+using testing_support::kCatchUp;
 using testing_support::milliseconds;
 using testing_support::RaftCluster;
 
-// How long a host must have run and been connected before another one may be lost.
-constexpr milliseconds kCatchUp{4000};
-
-// A group with open admission and the operations of its deployment. Every operation keeps within the losses that the
-// group must tolerate: at most `m_tolerated` disks at a time, and any number of hosts that are down or cut off.
-class Deployment {
- public:
-  Deployment(std::uint32_t hosts, std::size_t tolerated, std::uint64_t seed)
-      : m_random(seed), m_tolerated(tolerated), m_cluster(hosts, seed, true, tolerated), m_next_host(hosts + 1) {
-    for (std::uint32_t id = 1; id <= hosts; ++id) m_hosts.push_back(id);
-    m_cluster.Run(kCatchUp);
-  }
-
-  [[nodiscard]] RaftCluster& Cluster() { return m_cluster; }
-  [[nodiscard]] const std::vector<std::uint32_t>& Hosts() const { return m_hosts; }
-  [[nodiscard]] const RaftConfiguration& Configuration() { return m_cluster.Node(m_cluster.Leader()).Configuration(); }
-
-  std::uint32_t Add() {
-    m_hosts.push_back(m_next_host);
-    m_cluster.AddHost(m_next_host);
-    return m_next_host++;
-  }
-
-  void StopForGood(std::uint32_t id, bool announced) {
-    if (announced) m_cluster.AnnounceStop(id);
-    m_cluster.RemoveHost(id);
-    std::erase(m_hosts, id);
-  }
-
-  void LoseDisk(std::uint32_t id, milliseconds down_for) {
-    m_cluster.WipeUnconditionally(id);
-    m_cluster.Run(down_for);
-    m_cluster.Start(id);
-  }
-
-  // Cuts the first `count` hosts of `order` off from the others.
-  void Cut(const std::vector<std::uint32_t>& order, std::size_t count) {
-    for (std::size_t inside = 0; inside < count; ++inside) {
-      for (std::size_t outside = count; outside < order.size(); ++outside) {
-        m_cluster.Faults().m_blocked_links.insert({order[inside], order[outside]});
-        m_cluster.Faults().m_blocked_links.insert({order[outside], order[inside]});
-      }
-    }
-  }
-
-  // Submits a change and returns whether the leader has applied it within 500 ms.
-  bool Accepts() {
-    const std::uint32_t leader = m_cluster.Leader();
-    if (leader == 0) return false;
-    m_cluster.Submit(leader, MakeTicket(++m_number));
-    m_cluster.Run(milliseconds(500));
-    const std::uint32_t now = m_cluster.Leader();
-    return now != 0 &&
-           m_cluster.Processor(now).Find(TicketNumber{m_number}, DigestOf(MakeTicket(m_number))).has_value();
-  }
-
-  // What is wrong with the group while all its hosts run and are connected; empty if nothing is.
-  std::string Check() {
-    if (!m_cluster.Oracle().Violation().empty()) return m_cluster.Oracle().Violation();
-    if (!Accepts()) return "no leader accepts a change";
-    m_cluster.Oracle().CheckAcceptedTickets(m_cluster.Processor(m_cluster.Leader()));
-    return m_cluster.Oracle().Violation();
-  }
-
-  // One random operation, after which all hosts run and have had time to catch up.
-  void Step() {
-    (void)Accepts();
-    static constexpr std::array<void (Deployment::*)(), 6> kOperations{
-        &Deployment::ReplaceAsPlanned, &Deployment::ReplaceLostHost, &Deployment::LoseDisks,
-        &Deployment::LosePower,        &Deployment::CutHostsOff,     &Deployment::RestartInTurn};
-    (this->*kOperations.at(m_random.Below(kOperations.size())))();
-    m_cluster.Run(kCatchUp);
-  }
-
- private:
-  std::uint32_t AnyHost() { return m_hosts.at(m_random.Below(m_hosts.size())); }
-  milliseconds Pause(std::uint64_t limit_ms) { return milliseconds(m_random.Below(limit_ms)); }
-
-  std::vector<std::uint32_t> Shuffled() {
-    std::vector<std::uint32_t> order = m_hosts;
-    for (std::size_t last = order.size(); last > 1; --last) std::swap(order[last - 1], order[m_random.Below(last)]);
-    return order;
-  }
-
-  // The new hosts come first. Once they have caught up, the hosts that they replace do not count as lost, so that disks
-  // may be lost right after the stops.
-  void ReplaceAsPlanned() {
-    const std::uint64_t count = 1 + m_random.Below(2);
-    const std::vector<std::uint32_t> order = Shuffled();
-    for (std::uint64_t added = 0; added < count; ++added) Add();
-    m_cluster.Run(kCatchUp);
-    for (std::uint64_t stopped = 0; stopped < count; ++stopped) {
-      StopForGood(order.at(stopped), true);
-      m_cluster.Run(Pause(3000));
-    }
-    if (m_random.Below(2) == 0) LoseDisks();
-  }
-
-  void ReplaceLostHost() {
-    StopForGood(AnyHost(), false);
-    m_cluster.Run(Pause(2000));
-    Add();
-  }
-
-  void LoseDisks() {
-    const std::vector<std::uint32_t> order = Shuffled();
-    const std::uint64_t count = 1 + m_random.Below(m_tolerated);
-    for (std::uint64_t lost = 0; lost < count; ++lost) m_cluster.WipeUnconditionally(order.at(lost));
-    m_cluster.Run(Pause(3000));
-    for (std::uint64_t lost = 0; lost < count; ++lost) m_cluster.Start(order.at(lost));
-  }
-
-  void LosePower() {
-    for (const std::uint32_t id : m_hosts) m_cluster.Crash(id);
-    for (const std::uint32_t id : Shuffled()) {
-      m_cluster.Start(id);
-      m_cluster.Run(Pause(300));
-    }
-  }
-
-  // Cuts off any number of hosts, also half of them or more; a disk may be lost meanwhile.
-  void CutHostsOff() {
-    const std::vector<std::uint32_t> order = Shuffled();
-    Cut(order, 1 + m_random.Below(order.size() - 1));
-    m_cluster.Run(Pause(10000));
-    (void)Accepts();
-    if (m_random.Below(2) == 0) LoseDisks();
-    m_cluster.Run(Pause(5000));
-    m_cluster.Faults().m_blocked_links.clear();
-  }
-
-  void RestartInTurn() {
-    for (const std::uint32_t id : Shuffled()) {
-      m_cluster.AnnounceStop(id);
-      m_cluster.Crash(id);
-      m_cluster.Run(Pause(1000));
-      m_cluster.Start(id);
-      m_cluster.Run(Pause(1000));
-    }
-  }
-
-  Random m_random;
-  std::size_t m_tolerated;
-  RaftCluster m_cluster;
-  std::vector<std::uint32_t> m_hosts;
-  std::uint32_t m_next_host;
-  std::uint64_t m_number = 0;
-};
-
 // Guards against two replaced hosts that stay voters, so that one lost disk among the others ends the group for good.
 TEST(ConsensusMembershipTest, LostDiskAfterTwoReplacements) {
   Deployment deployment(3, 1, 1);
--- a/tests/consensus_node_test.cc
+++ b/tests/consensus_node_test.cc
@@ -21,16 +21,29 @@
   return stored;
 }
 
+// A disk that persists at once.
 class ConsensusNodeTest : public testing::Test {
  protected:
   RaftOutput Receive(const RaftPeer& from, Term term, decltype(RaftMessage::m_body) body) {
     m_node.Receive(m_now, {from, kSelf, term, std::move(body)});
-    return m_node.TakeOutput();
+    return TakeAllOutput();
   }
   void Wait(milliseconds span) {
     m_now += span;
     m_node.Tick(m_now);
-    (void)m_node.TakeOutput();
+    (void)TakeAllOutput();
+  }
+  // The output, and that which follows once its data is persisted.
+  RaftOutput TakeAllOutput() {
+    RaftOutput all = m_node.TakeOutput();
+    for (RaftOutput last = all; last.HasDataToPersist();) {
+      m_node.OnPersisted(m_now);
+      last = m_node.TakeOutput();
+      if (last.m_vote) all.m_vote = last.m_vote;
+      std::copy(last.m_messages.begin(), last.m_messages.end(), std::back_inserter(all.m_messages));
+      std::copy(last.m_committed.begin(), last.m_committed.end(), std::back_inserter(all.m_committed));
+    }
+    return all;
   }
   void BecomeLeader() {
     Wait(milliseconds(1000));
--- a/tests/consensus_retention_test.cc
+++ b/tests/consensus_retention_test.cc
@@ -38,7 +38,10 @@
 
   RaftOutput Step() {
     RaftOutput output = m_node->TakeOutput();
-    EXPECT_TRUE(IsOk(Persist(output, m_storage.get())));
+    for (RaftOutput last = output; last.HasDataToPersist(); last = m_node->TakeOutput()) {
+      EXPECT_TRUE(IsOk(Persist(last, m_storage.get())));
+      m_node->OnPersisted(m_now);
+    }
     return output;
   }
 
--- a/tests/log_replica_test.cc
+++ b/tests/log_replica_test.cc
@@ -25,6 +25,13 @@
     const Result<RaftMessage> message = DecodeRaftMessage(bytes);
     if (!IsOk(message)) return;
     m_term = std::max(m_term, ValueOf(message).m_term);
+    if (const auto* reply = std::get_if<AppendReply>(&ValueOf(message).m_body)) {
+      m_last_answered_ns = reply->m_sent_ns;
+      m_vouched_index = reply->m_index;
+    }
+    if (const auto* receipt = std::get_if<AppendReceipt>(&ValueOf(message).m_body)) {
+      m_last_answered_ns = receipt->m_sent_ns;
+    }
     if (const auto* request = std::get_if<VoteRequest>(&ValueOf(message).m_body)) {
       const Term request_term = ValueOf(message).m_term;
       const Term own_term = request->m_pre_vote ? request_term - 1 : request_term;
@@ -37,10 +44,16 @@
     m_receive(EncodeRaftMessage({kOther, kSelf, term, std::move(body)}));
   }
   [[nodiscard]] Term HighestTerm() const { return m_term; }
+  /// The time in the latest append request that was answered.
+  [[nodiscard]] std::int64_t LastAnsweredNs() const { return m_last_answered_ns; }
+  /// The index of the last `AppendReply`.
+  [[nodiscard]] LogIndex VouchedIndex() const { return m_vouched_index; }
 
  private:
   Receiver m_receive;
   Term m_term = 0;
+  std::int64_t m_last_answered_ns = 0;
+  LogIndex m_vouched_index = 0;
 };
 
 class NoState : public ReplicatedStateMachine {
@@ -109,5 +122,37 @@
   replica.Stop();
 }
 
+// Guards against a follower whose answers to heartbeats wait for its disk: the leader takes it for silent and loses its
+// majority whenever a sync takes longer than the election timeout.
+TEST(LogReplicaTest, HeartbeatsAreAnsweredWhileASyncRuns) {
+  const io::Reactor reactor;
+  testing_support::MemoryDirectory directory(1);
+  ASSERT_TRUE(IsOk(FileLogStorage::Format(&directory, {kSelf, {{{kSelf, true}, {kOther, true}}, {}}})));
+  auto storage = FileLogStorage::Open(&directory, kSelf.m_host);
+  ASSERT_TRUE(IsOk(storage));
+  NoState machine;
+  VotingPeer peer;
+  LogReplica replica({}, ValueOf(storage).get(), ValueOf(storage)->TakeStored(), &machine, &peer);
+  replica.Start([] {});
+  constexpr Term kTerm = 1000;
+  peer.Deliver(kTerm, AppendRequest{0, 0, 0, 1, {}});
+  while (peer.LastAnsweredNs() != 1) boost::this_fiber::sleep_for(milliseconds(5));
+  directory.SetSyncTime(milliseconds(1000));
+  peer.Deliver(kTerm, AppendRequest{0, 0, 0, 2, {{1, kTerm, EntryKind::kPayload, "payload"}}});
+  for (std::int64_t sent_ns = 3; sent_ns < 8; ++sent_ns) {
+    boost::this_fiber::sleep_for(milliseconds(100));
+    peer.Deliver(kTerm, AppendRequest{1, kTerm, 0, sent_ns, {}});
+    boost::this_fiber::sleep_for(milliseconds(50));
+    EXPECT_EQ(peer.LastAnsweredNs(), sent_ns);
+    EXPECT_EQ(peer.VouchedIndex(), 0U);
+  }
+  for (int wait = 0; wait < 100 && peer.VouchedIndex() == 0; ++wait) {
+    peer.Deliver(kTerm, AppendRequest{1, kTerm, 0, 9, {}});
+    boost::this_fiber::sleep_for(milliseconds(50));
+  }
+  EXPECT_EQ(peer.VouchedIndex(), 1U);
+  replica.Stop();
+}
+
 }  // namespace
 }  // namespace fighatch::daemon
--- a/tests/memory_directory.h
+++ b/tests/memory_directory.h
@@ -2,12 +2,14 @@
 #define FIGHATCH_TESTS_MEMORY_DIRECTORY_H_
 
 #include <atomic>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fighatch/random.h"
@@ -27,6 +29,8 @@
   void CrashAfter(std::optional<std::uint64_t> calls) { m_calls_left = calls; }
   /// While set, the disk has no room: an append writes a part of its bytes and fails with `kStorageFull`.
   void SetFull(bool full) { m_is_full = full; }
+  /// From now on each sync takes this long.
+  void SetSyncTime(std::chrono::milliseconds time) { m_sync_time = time; }
   /// Makes the next sync fail.
   void FailNextSync() { m_fail_sync = true; }
   [[nodiscard]] bool HasCrashed() const { return m_crashed; }
@@ -76,12 +80,14 @@
   }
   Status SyncFile(const std::string& name) override {
     if (CountCall() || m_crashed) return Crashed();
+    std::this_thread::sleep_for(m_sync_time.load());
     if (m_fail_sync) return MakeError(ErrorCode::kStorageSyncFailed, name);
     m_names.at(name)->m_durable = m_names.at(name)->m_content;
     return OkStatus();
   }
   Status SyncFolder() override {
     if (CountCall() || m_crashed) return Crashed();
+    std::this_thread::sleep_for(m_sync_time.load());
     if (m_fail_sync) return MakeError(ErrorCode::kStorageSyncFailed, "folder");
     for (const auto& change : m_name_changes) change(&m_durable_names);
     m_name_changes.clear();
@@ -148,6 +154,7 @@
   bool m_crashed = false;
   bool m_fail_sync = false;
   std::atomic<bool> m_is_full = false;
+  std::atomic<std::chrono::milliseconds> m_sync_time{};
 };
 
 }  // namespace fighatch::testing_support
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -1,8 +1,10 @@
 #ifndef FIGHATCH_TESTS_RAFT_CLUSTER_H_
 #define FIGHATCH_TESTS_RAFT_CLUSTER_H_
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -11,6 +13,7 @@
 #include "fighatch/file_log_storage.h"
 #include "fighatch/raft_node.h"
 #include "memory_directory.h"
+#include "sync_time.h"
 #include "wire/codec.h"
 
 namespace fighatch::testing_support {
@@ -70,6 +73,7 @@
         ProcessOutput(to);
       }
       for (auto& [id, host] : m_hosts) {
+        if (host.m_write && host.m_write->m_ends <= m_time) FinishWrite(id);
         if (host.m_node && host.m_node->NextDeadline() <= Now(id)) {
           host.m_node->Tick(Now(id));
           ProcessOutput(id);
@@ -120,6 +124,9 @@
     for (const std::uint32_t id : hosts) m_seeds->insert(HostId{id});
   }
 
+  /// Sets how long the syncs of a host's log take from now on; by default they take no time.
+  void SetSyncTime(std::uint32_t id, const SyncTime& time) { m_hosts[id].m_sync_time = time; }
+
   /// Adds a host with an empty disk, which may send join requests to all current hosts.
   void AddHost(std::uint32_t id) {
     m_hosts[id].m_directory = std::make_unique<MemoryDirectory>(m_random());
@@ -149,6 +156,7 @@
   /// Stops a host without warning; data that it had not synced may be lost.
   void Crash(std::uint32_t id) {
     m_hosts[id].m_node.reset();
+    m_hosts[id].m_write.reset();
     m_hosts[id].m_storage.reset();
     m_hosts[id].m_directory->Restart();
   }
@@ -230,6 +238,7 @@
     return leader;
   }
 
+  [[nodiscard]] TimePoint Time() const { return m_time; }
   [[nodiscard]] const RaftNode& Node(std::uint32_t id) const { return *m_hosts.at(id).m_node; }
   [[nodiscard]] const TicketProcessor& Processor(std::uint32_t id) const { return m_hosts.at(id).m_processor; }
   [[nodiscard]] NetworkFaults& Faults() { return m_faults; }
@@ -244,11 +253,10 @@
     }
   }
 
-  /// Handles the output of a host's `RaftNode` as its caller must: persists, sends, applies. May take a snapshot.
+  /// Handles the output of a host's `RaftNode` as its caller must: sends, applies, persists. May take a snapshot.
   void ProcessOutput(std::uint32_t id) {
     Host& host = m_hosts[id];
     RaftOutput output = host.m_node->TakeOutput();
-    if (!IsOk(Persist(output, host.m_storage.get()))) return Crash(id);
     for (const RaftMessage& message : output.m_messages) Send(message);
     if (output.m_snapshot) {
       Restore(&host, *output.m_snapshot);
@@ -260,11 +268,21 @@
       if (!m_clocks_jumped) m_oracle.OnReadBarrierPassed(index, host.m_read_barriers[barrier]);
     }
     m_oracle.OnState(host.m_node->Self(), host.m_processor);
-    if (m_random.Below(4) == 0) host.m_saved_commit_mark = {host.m_node->Self().m_disk, host.m_applied};
-    MaybeCompact(id, &host);
+    if (output.HasDataToPersist()) return StartWrite(id, std::move(output));
+    if (m_random.Below(4) == 0) {
+      host.m_saved_commit_mark = {host.m_node->Self().m_disk, std::min(host.m_applied, host.m_node->PersistedIndex())};
+    }
+    if (!host.m_write) MaybeCompact(id, &host);
   }
 
  private:
+  // A write that takes time. Its data reaches the disk at its start or at its end, so that a crash meanwhile may or may
+  // not find it there.
+  struct Write {
+    RaftOutput m_data;
+    bool m_is_on_disk = false;
+    TimePoint m_ends;
+  };
   struct Host {
     std::unique_ptr<MemoryDirectory> m_directory;
     std::unique_ptr<FileLogStorage> m_storage;
@@ -273,6 +291,8 @@
     LogIndex m_applied = 0;
     // Simulates `CommitMark`; updated at random, so that it lags behind the applied index.
     std::pair<DiskId, LogIndex> m_saved_commit_mark;
+    SyncTime m_sync_time;
+    std::optional<Write> m_write;
     milliseconds m_clock_offset{0};
     std::set<std::pair<LogIndex, Term>> m_proposed;
     // By barrier id: the highest generation accepted when the barrier was started.
@@ -288,6 +308,34 @@
     return true;
   }
 
+  void StartWrite(std::uint32_t id, RaftOutput output) {
+    Host& host = m_hosts[id];
+    const milliseconds duration = WriteTime(host, output);
+    host.m_write = Write{std::move(output), false, m_time + duration};
+    if (duration == milliseconds(0)) return FinishWrite(id);
+    if (m_random.Below(2) == 0) host.m_write->m_is_on_disk = IsOk(Persist(host.m_write->m_data, host.m_storage.get()));
+    if (host.m_directory->HasCrashed()) Crash(id);
+  }
+
+  void FinishWrite(std::uint32_t id) {
+    Host& host = m_hosts[id];
+    const Write write = std::move(*std::exchange(host.m_write, {}));
+    if (!write.m_is_on_disk && !IsOk(Persist(write.m_data, host.m_storage.get()))) return Crash(id);
+    // The snapshot may cover entries that the node has not been able to write yet.
+    MaybeCompact(id, &host);
+    if (!host.m_node) return;
+    host.m_node->OnPersisted(Now(id));
+    ProcessOutput(id);
+  }
+
+  // The time of the syncs of a write: two for each replaced file, one for entries.
+  milliseconds WriteTime(const Host& host, const RaftOutput& output) {
+    const int syncs = (output.m_vote ? 2 : 0) + (output.m_snapshot ? 2 : 0) + (output.m_entries.empty() ? 0 : 1);
+    milliseconds total{0};
+    for (int sync = 0; sync < syncs; ++sync) total += host.m_sync_time.Draw(&m_random);
+    return total;
+  }
+
   void Restore(Host* host, const RaftSnapshot& snapshot) {
     if (!IsOk(host->m_processor.Restore(std::as_bytes(std::span(snapshot.m_data))))) {
       m_oracle.Fail("a snapshot cannot be decoded", snapshot.m_index);
