consensus_slow_disk_test: wait for elections that began before the leader won

Trace: host 4 had written its vote of term 1 quickly and began to write its vote of term 2 at 3,649 ms; host 2 won term 1 at 4,006 ms and had its lease at 4,776 ms. The later term deposed it at 6,232 ms, and host 3 led term 3 for good from 13,251 ms. Raft allows this: a leader does not outlast an election that began before it won.

Change: the check that a leader lasts starts once no host is in a later term, still within 30 s. What it asks after that is the same.

--- a/tests/consensus_slow_disk_test.cc
+++ b/tests/consensus_slow_disk_test.cc
@@ -33,16 +33,27 @@
  protected:
   static constexpr std::uint64_t kSeeds = 10;
 
-  // Starts the hosts and waits up to 30 s for a leader that has committed an entry of its term.
+  // Starts the hosts and waits up to 30 s for a leader that has committed an entry of its term, and for the end of
+  // elections that began before it had won: a host that writes its vote in a later term still deposes it.
   static std::uint32_t StartAndAwaitLeader(RaftCluster* cluster) {
     for (std::uint32_t id = 1; id <= GetParam().m_hosts; ++id) cluster->SetSyncTime(id, GetParam().m_time);
     for (int round = 0; round < 300; ++round) {
       cluster->Run(milliseconds(100));
       const std::uint32_t leader = cluster->Leader();
-      if (leader != 0 && cluster->Node(leader).HasLease(cluster->Time())) return leader;
+      if (leader != 0 && cluster->Node(leader).HasLease(cluster->Time()) && IsNewestTerm(*cluster, leader)) {
+        return leader;
+      }
     }
     return 0;
   }
+
+  static bool IsNewestTerm(const RaftCluster& cluster, std::uint32_t leader) {
+    const Term term = cluster.Node(leader).CurrentTerm();
+    for (std::uint32_t id = 1; id <= GetParam().m_hosts; ++id) {
+      if (cluster.Node(id).CurrentTerm() > term) return false;
+    }
+    return true;
+  }
 };
 
 // Guards against elections that start anew before the votes of the last one are persisted, and against a leader that is
