--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -343,7 +343,8 @@
                 return packet, data[HEAD.size:]
 
     def request(self, balancer, route):
-        """Returns (id, when it was sent, outcome): 'reset', 'silent', 'broken' or 'ok'."""
+        """Returns (id, when it was sent, outcome): 'reset', 'silent', 'reset while open',
+        'no answer' or 'ok'."""
         self.count += 1
         request = f"c{self.number}-r{self.count}"
         self.next_port += 1
@@ -372,11 +373,13 @@
             self.send(balancer, route, port, ACK, seq + 1, server_seq + 1, echo, data)
             answer = self.receive(port, time.monotonic() + 0.3)
             if answer and answer[0][9] & RST:
-                return "broken"
+                sender = "the system" if answer[0][4] == 0 else "a server"  # The system's resets carry no echo.
+                self.deployment.record(f"{request} is open and gets a reset of {sender} with seq {answer[0][6]}")
+                return "reset while open"
             if answer and answer[1]:
                 self.send(balancer, route, port, ACK | FIN, seq + 1 + len(data), answer[0][6] + len(answer[1]), echo)
                 return "ok"
-        return "broken"
+        return "no answer"
 
 
 def config(version, routes, services):
