--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 
 STABLE_WINDOW_S = 4.0
 CONFIG_APPLY_S = 3.0
-KEPT, DROPPED = ("198.18.0.1", 8443), ("198.18.0.2", 8443)
+KEPT, DROPPED = ("127.198.18.1", 8443), ("127.198.18.2", 8443)
 
 
 def play(system, record, trouble):
