review: stand-ins never use one port twice

Cause: `free_port` closes a port before it asks for the next one, so that the kernel may give the same port to two uses of a case, for instance to the HTTP and the metrics server of a host, which then doesn't start. Change: ports that were given before are not given again. No check of a case is touched.

--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -27,10 +27,18 @@
 HEARTBEAT_S = 1.2
 
 
+GIVEN_PORTS = set()
+
+
 def free_port(kind):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port of 127.0.0.1 that no earlier call returned: the kernel may give a port that was closed again."""
+    while True:
+        with socket.socket(socket.AF_INET, kind) as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 class Record:
