routing_log: a replay publishes no state that the log never had

Cause: at a start, RoutingLog::Replay parses only the newest document, but published the state after each data centre command on top of the document from before the replay, under the index under which the host had published other routes before its restart. UpdateFrom found such a state for a balancer that held that index, and its difference listed no removed route.

Ruled out: lost pushes (the balancer took one update after the cut, from a host in contact with a majority), and a leader that lost entries (version and index are the acknowledged ones).

Change: Replay publishes a state only while the document in force is a parsed one. Bases that are right are kept: those before the first document that is not parsed, and those from the newest document on. No further document is parsed.

The document reader of routing_log_test moved to a header that both tests use; its checks are the same.

--- a/include/fighatch/routing_log.h
+++ b/include/fighatch/routing_log.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -72,8 +73,9 @@
   [[nodiscard]] Result<bool> Apply(LogIndex index, const RoutingCommand& command);
 
   /// Applies entries whose results no client awaits, in ascending order, with the same resulting state as one call of
-  /// `Apply` for each. Documents that another one supersedes are not parsed, which keeps a restart short. Returns the
-  /// errors of the parsed ones.
+  /// `Apply` for each. Documents that another one supersedes are not parsed, which keeps a restart short; the states
+  /// that held their routes are not published, so that no host gets a difference from them. Returns the errors of the
+  /// parsed ones.
   std::vector<std::pair<LogIndex, Error>> Replay(const std::vector<std::pair<LogIndex, RoutingCommand>>& commands);
 
   /// The newest state; never null.
@@ -93,7 +95,11 @@
  private:
   [[nodiscard]] Result<bool> ApplyCommand(LogIndex index, const DocumentCommand& command);
   [[nodiscard]] Result<bool> ApplyCommand(LogIndex index, const DataCentreCommand& command);
-  void Activate(LogIndex index, const std::string& text, RoutingState routing);
+  // The document that is in force after the commands, with its index; unset if it is the one in force already. Adds the
+  // errors of malformed documents.
+  [[nodiscard]] std::optional<std::pair<LogIndex, RoutingState>> ReadNewestDocument(
+      const std::vector<std::pair<LogIndex, RoutingCommand>>& commands,
+      std::vector<std::pair<LogIndex, Error>>* errors) const;
   void Publish(PublishedState next);
 
   const DocumentReader* m_reader;
--- a/src/steering/routing_log.cc
+++ b/src/steering/routing_log.cc
@@ -29,6 +29,12 @@
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
+// Returns true if the state changed.
+bool SetDataCentre(const DataCentreCommand& command, PublishedState* state) {
+  return command.m_out ? state->m_data_centres_out.insert(command.m_name).second
+                       : state->m_data_centres_out.erase(command.m_name) > 0;
+}
+
 }  // namespace
 
 std::string EncodeRoutingCommand(const RoutingCommand& command) { return EncodeText(command); }
@@ -48,12 +54,14 @@
   if (!m_document.empty() && command.m_version <= m_published->m_routing.m_version) return false;
   Result<RoutingState> routing = m_reader->Read(command.m_text);
   if (!IsOk(routing)) return ErrorOf(routing);
-  Activate(index, command.m_text, std::move(ValueOf(routing)));
+  m_document = command.m_text;
+  Publish({index, std::move(ValueOf(routing)), m_published->m_data_centres_out});
   return true;
 }
 
-std::vector<std::pair<LogIndex, Error>> RoutingLog::Replay(
-    const std::vector<std::pair<LogIndex, RoutingCommand>>& commands) {
+std::optional<std::pair<LogIndex, RoutingState>> RoutingLog::ReadNewestDocument(
+    const std::vector<std::pair<LogIndex, RoutingCommand>>& commands,
+    std::vector<std::pair<LogIndex, Error>>* errors) const {
   std::vector<std::pair<LogIndex, const DocumentCommand*>> documents;
   for (const auto& [index, command] : commands) {
     if (const auto* document = std::get_if<DocumentCommand>(&command)) documents.emplace_back(index, document);
@@ -62,34 +70,44 @@
   std::stable_sort(documents.begin(), documents.end(), [](const auto& left, const auto& right) {
     return left.second->m_version > right.second->m_version;
   });
-  std::vector<std::pair<LogIndex, Error>> errors;
-  std::optional<std::pair<LogIndex, RoutingState>> newest;
   for (const auto& [index, document] : documents) {
     if (!m_document.empty() && document->m_version <= m_published->m_routing.m_version) break;
     Result<RoutingState> read = m_reader->Read(document->m_text);
-    if (IsOk(read)) {
-      newest.emplace(index, std::move(ValueOf(read)));
-      break;
-    }
-    errors.emplace_back(index, ErrorOf(read));
+    if (IsOk(read)) return std::pair{index, std::move(ValueOf(read))};
+    errors->emplace_back(index, ErrorOf(read));
   }
+  return std::nullopt;
+}
+
+std::vector<std::pair<LogIndex, Error>> RoutingLog::Replay(
+    const std::vector<std::pair<LogIndex, RoutingCommand>>& commands) {
+  std::vector<std::pair<LogIndex, Error>> errors;
+  std::optional<std::pair<LogIndex, RoutingState>> newest = ReadNewestDocument(commands, &errors);
+  PublishedState next = *m_published;
+  // Until the newest document applies, the routes of each state come from a document that was not parsed. A data centre
+  // command in between must not publish the routes held here under its index: the host had published others under it.
+  bool is_document_known = true;
   for (const auto& [index, command] : commands) {
-    if (const auto* data_centre = std::get_if<DataCentreCommand>(&command)) (void)ApplyCommand(index, *data_centre);
-    if (newest && newest->first == index) Activate(index, std::get<DocumentCommand>(command).m_text, newest->second);
+    bool changed = false;
+    if (const auto* data_centre = std::get_if<DataCentreCommand>(&command)) {
+      changed = SetDataCentre(*data_centre, &next);
+    } else if (newest && index == newest->first) {
+      m_document = std::get<DocumentCommand>(command).m_text;
+      next.m_routing = std::move(newest->second);
+      is_document_known = changed = true;
+    } else if (newest && index < newest->first) {
+      is_document_known = false;
+    }
+    if (!changed) continue;
+    next.m_index = index;
+    if (is_document_known) Publish(next);
   }
   return errors;
 }
 
-void RoutingLog::Activate(LogIndex index, const std::string& text, RoutingState routing) {
-  m_document = text;
-  Publish({index, std::move(routing), m_published->m_data_centres_out});
-}
-
 Result<bool> RoutingLog::ApplyCommand(LogIndex index, const DataCentreCommand& command) {
   PublishedState next = *m_published;
-  const bool changed = command.m_out ? next.m_data_centres_out.insert(command.m_name).second
-                                     : next.m_data_centres_out.erase(command.m_name) > 0;
-  if (!changed) return false;
+  if (!SetDataCentre(command, &next)) return false;
   next.m_index = index;
   Publish(std::move(next));
   return true;
--- a/tests/routing_log_test.cc
+++ b/tests/routing_log_test.cc
@@ -4,32 +4,15 @@
 #include <rapidcheck/gtest.h>
 
 #include "fighatch/random.h"
-#include "steering_fixture.h"
+#include "port_reader.h"
 
 namespace fighatch {
 namespace {
 
-using testing_support::MakeRoute;
-
-// Parses documents of the form "VERSION PORT..."; all others are malformed.
-class PortReader : public DocumentReader {
- public:
-  [[nodiscard]] Result<RoutingState> Read(std::string_view text) const override {
-    std::istringstream in{std::string(text)};
-    RoutingState state;
-    if (!(in >> state.m_version)) return MakeError(ErrorCode::kTicketMalformed);
-    state.m_services["desk"] = {"desk", 0};
-    for (std::uint16_t port = 0; in >> port;) {
-      const Endpoint address{IpAddress::FromV4(1), port};
-      state.m_routes[address] = MakeRoute(address, "desk");
-    }
-    return state;
-  }
-};
-
-DocumentCommand MakeDocument(std::uint64_t version, const std::string& ports) {
-  return {version, std::to_string(version) + " " + ports};
-}
+using testing_support::DrawDataCentreCommand;
+using testing_support::DrawPorts;
+using testing_support::MakeDocument;
+using testing_support::PortReader;
 
 class RoutingLogTest : public testing::Test {
  protected:
@@ -79,12 +62,10 @@
   std::uint64_t version = 0;
   for (LogIndex index = 1; index <= 60; ++index) {
     if (random.Below(4) == 0) {
-      (void)log.Apply(index, DataCentreCommand{"dc" + std::to_string(random.Below(3)), random.Below(2) == 0});
+      (void)log.Apply(index, DrawDataCentreCommand(&random));
     } else {
-      std::string ports;
-      for (std::uint64_t port = 80; port < 90; ++port) ports += random.Below(2) == 0 ? std::to_string(port) + " " : "";
       version += random.Below(3);
-      (void)log.Apply(index, MakeDocument(version, ports));
+      (void)log.Apply(index, MakeDocument(version, DrawPorts(&random)));
     }
     if (random.Below(5) != 0) continue;
     const std::uint64_t before = follower.m_index;
@@ -107,7 +88,7 @@
     std::vector<std::pair<LogIndex, RoutingCommand>> commands;
     for (std::uint64_t count = random.Below(12); count > 0; --count) {
       const std::uint64_t version = random.Below(10);
-      RoutingCommand command = DataCentreCommand{"dc" + std::to_string(random.Below(3)), random.Below(2) == 0};
+      RoutingCommand command = DrawDataCentreCommand(&random);
       if (random.Below(4) != 0) command = MakeDocument(version, std::to_string(80 + random.Below(20)));
       if (random.Below(6) == 0) command = DocumentCommand{version, "x"};
       commands.emplace_back(++index, command);
