control_process_test: hosts never share a port, and waits end

Cause: FreeEndpoint closed each port before it asked for the next one, so two hosts could get the same one, and it never asked whether the port is free for UDP. The source port of a connection between the hosts that had started already could take a port as well.

Change: the sockets of all six endpoints, TCP and UDP, stay bound until all are drawn, and each host has a loopback address of its own, which no outgoing connection has. The waits fail at once if a host has ended by itself, and after 60 s without a final answer, a leader or equal replicas. No check of a case changed.

--- a/tests/control_process_test.cc
+++ b/tests/control_process_test.cc
@@ -19,6 +19,7 @@
 #include "fighatch/state_delta.h"
 #include "io/http_client.h"
 #include "io/tcp_stream.h"
+#include "io/udp_socket.h"
 
 extern char** environ;
 
@@ -32,10 +33,32 @@
 constexpr std::uint32_t kHostCount = 3;
 const std::string kFolder = std::string(FIGHATCH_BINARY_DIR) + "/control_process_test_data";
 
-Endpoint FreeEndpoint() {
-  auto listener = io::TcpListener::Listen(ValueOf(ParseEndpoint("127.0.0.1:0")));
-  return ValueOf(listener).Local();
-}
+// How long a host or a ticket may take until the test fails instead of waiting for ctest to end it.
+constexpr milliseconds kWaitLimit{60000};
+
+// Free endpoints of the control hosts. Each host has an address of its own, so that neither another host nor the source
+// port of a connection, which has the address 127.0.0.1, can take one of its ports. The sockets stay bound until all
+// endpoints are drawn, so that none is drawn twice.
+class FreeEndpoints {
+ public:
+  // An endpoint that is free for TCP and for UDP.
+  Endpoint Draw(std::uint32_t host) {
+    const std::string address = "127.47.0." + std::to_string(host);
+    for (;;) {
+      Result<io::TcpListener> listener = io::TcpListener::Listen(ValueOf(ParseEndpoint(address + ":0")));
+      m_listeners.push_back(std::move(ValueOf(listener)));
+      const Endpoint endpoint = m_listeners.back().Local();
+      Result<io::UdpSocket> socket = io::UdpSocket::Bind(endpoint);
+      if (!IsOk(socket)) continue;
+      m_sockets.push_back(std::move(ValueOf(socket)));
+      return endpoint;
+    }
+  }
+
+ private:
+  std::vector<io::TcpListener> m_listeners;
+  std::vector<io::UdpSocket> m_sockets;
+};
 
 // A child process, which the destructor kills.
 class Process {
@@ -55,6 +78,12 @@
   void Signal(int number) const {
     if (m_pid > 0) kill(m_pid, number);
   }
+  // True if the process ended without a call of `Wait`.
+  [[nodiscard]] bool HasEnded() const {
+    siginfo_t info{};
+    return m_pid > 0 && waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == m_pid;
+  }
   int Wait() {
     int status = 0;
     if (m_pid > 0) waitpid(m_pid, &status, 0);
@@ -80,10 +109,7 @@
     std::filesystem::create_directories(kFolder);
     std::ofstream(kFolder + "/operator.key") << std::string(64, '7') << "\n";
     std::ofstream(kFolder + "/cluster.key") << std::string(64, '8') << "\n";
-    for (std::uint32_t host = 1; host <= kHostCount; ++host) {
-      m_http_endpoints[host] = FreeEndpoint();
-      m_message_endpoints[host] = FreeEndpoint();
-    }
+    ChooseEndpoints();
     for (std::uint32_t host = 1; host <= kHostCount; ++host) {
       WriteSettings(host);
       EXPECT_EQ(Process("fighatch-control", {"--config", SettingsPath(host), "--found"}).Wait(), 0);
@@ -95,6 +121,14 @@
     std::filesystem::remove_all(kFolder);
   }
 
+  void ChooseEndpoints() {
+    FreeEndpoints endpoints;
+    for (std::uint32_t host = 1; host <= kHostCount; ++host) {
+      m_http_endpoints[host] = endpoints.Draw(host);
+      m_message_endpoints[host] = endpoints.Draw(host);
+    }
+  }
+
   static std::string SettingsPath(std::uint32_t host) { return kFolder + "/control" + std::to_string(host) + ".json"; }
   static std::string DataFolder(std::uint32_t host) { return kFolder + "/data" + std::to_string(host); }
 
@@ -138,27 +172,44 @@
         io::HttpExchange(m_http_endpoints[host], request, steady_clock::now() + milliseconds(4000));
     return IsOk(response) ? json::parse(ValueOf(response).m_body, nullptr, false) : json();
   }
-  // Sends a ticket to the hosts in turn until one gives a final answer.
+  // Sends a ticket to the hosts in turn until one gives a final answer; null if none did in time.
   json PostUntilFinal(const std::string& ticket) {
-    for (std::uint32_t attempt = 0;; ++attempt) {
+    const auto deadline = steady_clock::now() + kWaitLimit;
+    for (std::uint32_t attempt = 0; steady_clock::now() < deadline; ++attempt) {
       const json answer = Post(attempt % kHostCount + 1, ticket);
       const int code = answer.is_object() ? answer.value("code", 3010) : 3010;
       if (code != 3009 && code != 3010 && code != 3011) return answer;
       boost::this_fiber::sleep_for(milliseconds(10));
     }
+    ADD_FAILURE() << "no host gave a final answer to " << ticket;
+    return {};
+  }
+  // False, and a failure of the test, after the deadline or if a host ended by itself.
+  bool MayWait(steady_clock::time_point deadline) {
+    for (const auto& [host, process] : m_processes) {
+      if (!process->HasEnded()) continue;
+      ADD_FAILURE() << "control host " << host << " ended";
+      return false;
+    }
+    if (steady_clock::now() < deadline) return true;
+    ADD_FAILURE() << "the hosts took too long";
+    return false;
   }
-  // Waits until a host reports that it is the leader, and returns that host.
+  // Waits until a host reports that it is the leader, and returns that host; the first one if none did.
   std::uint32_t WaitForLeader() {
-    for (;;) {
+    const auto deadline = steady_clock::now() + kWaitLimit;
+    while (MayWait(deadline)) {
       for (std::uint32_t host = 1; host <= kHostCount; ++host) {
         const json health = GetJson(host, "/v1/health");
         if (health.is_object() && health.value("role", "") == "leader") return host;
       }
       boost::this_fiber::sleep_for(milliseconds(20));
     }
+    return 1;
   }
   void WaitUntilReplicasConverge() {
-    for (;;) {
+    const auto deadline = steady_clock::now() + kWaitLimit;
+    while (MayWait(deadline)) {
       std::set<std::uint64_t> applied;
       for (std::uint32_t host = 1; host <= kHostCount; ++host) {
         const json health = GetJson(host, "/v1/health");
