Published states are named by their index and a digest

Cause: UpdateFrom looked up the base by index alone, ApplyUpdate compared indexes alone, and logs and metrics showed no more than index and version.

Change: - A published state has a digest of its content, a sum of hashes, so that an update changes it by what the update changes. - Followers state index and digest. A control host sends a difference only from exactly that state, and the whole state otherwise. - ApplyUpdate refuses a difference that does not start at the state held or does not lead to the digest that it names. The balancer keeps its state, asks for the whole one, writes event=state_update_refused and counts fighatch_steering_state_updates_refused_total. A whole state is taken as it is: refusing it would only repeat it. - state_followed, order_applied and orders_replayed carry the digest; gauges of state and digest on both sides, and fighatch_control_divergent_followers. An equal index with another digest sends nothing: control hosts that disagreed would replace each other's state with every request.

DigestCoversEveryPartOfTheState and others are new. Tests that passed 0 or an index as the state held pass a position now.

--- a/include/fighatch/cookie_steering.h
+++ b/include/fighatch/cookie_steering.h
@@ -108,8 +108,13 @@
     return PlaceFlow(now, packet, first_sent, PacketSource::kWaiting);
   }
 
-  /// Applies an update of the published state; older updates are ignored. Returns true if the update was applied.
-  bool Update(TimePoint now, const RoutingUpdate& update);
+  /// Applies an update of the published state, see `ApplyUpdate`.
+  UpdateOutcome Update(TimePoint now, const RoutingUpdate& update);
+  /// What to tell control hosts of the state held here. After `UpdateOutcome::kDigestMismatch` it is no state, so that
+  /// they send the whole one; the state held stays in force until then.
+  [[nodiscard]] StatePosition HeldState() const noexcept {
+    return m_needs_whole_state ? StatePosition{} : m_state.Position();
+  }
   /// Merges a target record from a control host; true if it was newer than the known record.
   bool Merge(TimePoint now, const TargetObservation& observation);
   /// Takes what another balancer says of load; while the sender's last message has not expired, only a newer one is
@@ -266,6 +271,7 @@
   std::unique_ptr<ChoiceStrategy> m_choice;
   Random m_random;
   PublishedState m_state;
+  bool m_needs_whole_state = false;
   TargetTable m_targets;
   PlacedFlowTable m_flows;
   std::vector<HostId> m_balancers;
--- a/include/fighatch/routing_log.h
+++ b/include/fighatch/routing_log.h
@@ -81,9 +81,9 @@
   /// The newest state; never null.
   [[nodiscard]] const std::shared_ptr<const PublishedState>& Published() const noexcept { return m_published; }
 
-  /// The update that takes a host from the state of `index` to the newest one: a difference if that state is still
-  /// kept, the whole state otherwise.
-  [[nodiscard]] RoutingUpdate UpdateFrom(std::uint64_t index) const;
+  /// The update that takes a host from the state at `held` to the newest one: a difference if exactly that state is
+  /// still kept, the whole state otherwise.
+  [[nodiscard]] RoutingUpdate UpdateFrom(const StatePosition& held) const;
 
   /// The text of the document in force; empty before the first one.
   [[nodiscard]] const std::string& Document() const noexcept { return m_document; }
--- a/include/fighatch/sync_client.h
+++ b/include/fighatch/sync_client.h
@@ -37,15 +37,15 @@
   /// Sets the control hosts from the settings. They are polled in addition to those learned from replies.
   void SetSeeds(std::set<HostId> seeds) { m_seeds = std::move(seeds); }
 
-  /// The requests to send now; call it once an interval.
-  [[nodiscard]] std::vector<std::pair<HostId, SyncRequest>> Tick(TimePoint now, std::uint64_t state_index);
+  /// The requests to send now; call it once an interval. `state` is the published state that the host holds.
+  [[nodiscard]] std::vector<std::pair<HostId, SyncRequest>> Tick(TimePoint now, const StatePosition& state);
 
   /// Processes a reply; the caller merges the targets and the update that it holds. Returns true if the reply continued
   /// the sequence of target changes with at least one change, which a control host confirms at once.
   bool Receive(TimePoint now, const SyncReply& reply);
 
   /// A request to one host, which also confirms the changes received from it.
-  [[nodiscard]] SyncRequest RequestTo(HostId host, std::uint64_t state_index) const;
+  [[nodiscard]] SyncRequest RequestTo(HostId host, const StatePosition& state) const;
 
   /// True if a control host in contact with a majority has replied within `kReplyTimeout`.
   [[nodiscard]] bool IsCurrent(TimePoint now) const;
--- a/include/fighatch/sync_message.h
+++ b/include/fighatch/sync_message.h
@@ -52,14 +52,14 @@
   SyncRole m_role = SyncRole::kBalancer;
   std::string m_data_centre;
   SyncPosition m_position;
-  /// Index of the published state that the follower holds; 0 for none.
-  std::uint64_t m_state_index = 0;
+  /// The published state that the follower holds.
+  StatePosition m_state;
   /// Digest of the hosts that the follower knows, see `SyncReply::m_hosts_digest`.
   std::uint64_t m_hosts_digest = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(m_from, m_role, m_data_centre, m_position, m_state_index, m_hosts_digest);
+    archive(m_from, m_role, m_data_centre, m_position, m_state, m_hosts_digest);
   }
 };
 
--- a/include/fighatch/sync_server.h
+++ b/include/fighatch/sync_server.h
@@ -51,6 +51,10 @@
   /// How many of these control hosts have confirmed that they hold the directory change `sequence`.
   [[nodiscard]] std::size_t CountConfirmedBy(std::uint64_t sequence, const std::set<HostId>& hosts) const;
 
+  /// How many balancers stated in their last request that they hold another state than the published one under the same
+  /// index. More than 0 means that a host holds a wrong state.
+  [[nodiscard]] std::size_t CountDivergent() const;
+
   [[nodiscard]] std::size_t FollowerCount() const noexcept { return m_followers.size(); }
 
  private:
@@ -62,8 +66,10 @@
     std::uint64_t m_confirmed = 0;
     // The directory change, the state and the digest that the follower holds if no message to it was lost.
     std::uint64_t m_sent_sequence = 0;
-    std::uint64_t m_sent_index = 0;
+    StatePosition m_sent_state;
     std::uint64_t m_sent_digest = 0;
+    // The state that it stated in its last request.
+    StatePosition m_stated_state;
     // When refreshes were last sent to this control host.
     TimePoint m_refreshes_sent;
   };
--- a/src/balancer/steering_balancer.h
+++ b/src/balancer/steering_balancer.h
@@ -43,6 +43,7 @@
   std::uint64_t m_refused_waiting = 0;
   std::uint64_t m_summaries_sent = 0;
   std::uint64_t m_summaries_received = 0;
+  std::uint64_t m_updates_refused = 0;
 };
 
 /// Latency histograms of a `SteeringBalancer`, for the metrics.
@@ -129,6 +130,7 @@
   void AddEgressMetrics();
   void ServeMessages();
   void HandleReply(TimePoint now, const SyncReply& reply);
+  void HandleUpdate(TimePoint now, HostId from, const RoutingUpdate& update);
   void PollControlHosts();
   // Takes a load report, offered rates or a summary; logs a message that cannot be decoded. True if it was taken.
   template <typename Message>
--- a/src/balancer/steering_balancer_messages.cc
+++ b/src/balancer/steering_balancer_messages.cc
@@ -52,12 +52,7 @@
 
 void SteeringBalancer::HandleReply(TimePoint now, const SyncReply& reply) {
   m_sync_client.Receive(now, reply);
-  if (reply.m_update && m_steering.Update(now, *reply.m_update)) {
-    LOG(INFO) << "event=state_followed index=" << reply.m_update->m_index << " version=" << reply.m_update->m_version
-              << " routes=" << m_steering.State().m_routing.m_routes.size()
-              << " data_centres_out=" << reply.m_update->m_data_centres_out.size()
-              << " from=" << ToString(IpAddress::FromV4(reply.m_from.m_value));
-  }
+  if (reply.m_update) HandleUpdate(now, reply.m_from, *reply.m_update);
   for (const TargetObservation& observation : reply.m_targets) {
     if (!m_steering.Merge(now, observation)) continue;
     const AnnouncedTarget& record = observation.m_record;
@@ -74,10 +69,29 @@
   LogContactAndReadiness(now);
 }
 
+void SteeringBalancer::HandleUpdate(TimePoint now, HostId from, const RoutingUpdate& update) {
+  const UpdateOutcome outcome = m_steering.Update(now, update);
+  if (outcome == UpdateOutcome::kApplied) {
+    LOG(INFO) << "event=state_followed index=" << update.m_position.m_index << " digest=" << std::hex
+              << update.m_position.m_digest << std::dec << " version=" << update.m_version
+              << " routes=" << m_steering.State().m_routing.m_routes.size()
+              << " data_centres_out=" << update.m_data_centres_out.size()
+              << " from=" << ToString(IpAddress::FromV4(from.m_value));
+  } else if (outcome == UpdateOutcome::kDigestMismatch) {
+    ++m_counters.m_updates_refused;
+    if (!m_log_line_budget.Allow()) return;
+    LOG(ERROR) << "event=state_update_refused index=" << update.m_position.m_index << " base=" << update.m_base.m_index
+               << std::hex << " base_digest=" << update.m_base.m_digest << " digest=" << m_steering.State().m_digest
+               << std::dec << " from=" << ToString(IpAddress::FromV4(from.m_value))
+               << " suppressed=" << m_log_line_budget.TakeSuppressed()
+               << " next=\"keeps its state and asks for the whole one\"";
+  }
+}
+
 void SteeringBalancer::PollControlHosts() {
   while (!m_done) {
     const TimePoint now = Now();
-    for (const auto& [host, request] : m_sync_client.Tick(now, m_steering.State().m_index)) {
+    for (const auto& [host, request] : m_sync_client.Tick(now, m_steering.HeldState())) {
       SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
              EncodeSyncRequest(request));
     }
--- a/src/balancer/steering_balancer_metrics.cc
+++ b/src/balancer/steering_balancer_metrics.cc
@@ -19,10 +19,14 @@
           m_counters.m_summaries_sent);
   counter("fighatch_steering_load_summaries_received_total", "Summaries of load received from other data centres.",
           m_counters.m_summaries_received);
+  counter("fighatch_steering_state_updates_refused_total", "Updates refused since they do not fit the state held.",
+          m_counters.m_updates_refused);
   m_metrics.AddGauge("fighatch_steering_open_flows", "Flows open through this balancer.", {},
                      [this] { return static_cast<double>(m_steering.OpenFlows()); });
   m_metrics.AddGauge("fighatch_steering_state_index", "Index of the published state in force.", {},
                      [this] { return static_cast<double>(m_steering.State().m_index); });
+  m_metrics.AddGauge("fighatch_steering_state_digest", "Digest of that state, equal on all hosts with this index.", {},
+                     [this] { return observe::DigestValue(m_steering.State().m_digest); });
   m_metrics.AddGauge("fighatch_steering_ready", "1 while the balancer should get packets.", {},
                      [this] { return IsReady() ? 1.0 : 0.0; });
   const auto histogram = [this](const char* name, const char* help, const observe::LatencyHistogram& latencies) {
--- a/src/control/steering_control.cc
+++ b/src/control/steering_control.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <sstream>
 #include <utility>
 
 #include "daemon/clock.h"
@@ -68,8 +69,7 @@
   const Result<bool> applied = IsOk(command) ? m_routing_log.Apply(entry.m_index, ValueOf(command)) : ErrorOf(command);
   if (IsOk(applied)) {
     LOG(INFO) << "event=order_applied index=" << entry.m_index << " term=" << entry.m_term
-              << " changed=" << ValueOf(applied) << " version=" << m_routing_log.Published()->m_routing.m_version
-              << " data_centres_out=" << m_routing_log.Published()->m_data_centres_out.size();
+              << " changed=" << ValueOf(applied) << PublishedFields();
   } else {
     LOG(ERROR) << "event=order_refused index=" << entry.m_index << " " << ToString(ErrorOf(applied));
   }
@@ -89,9 +89,15 @@
   for (const auto& [index, error] : m_routing_log.Replay(commands)) {
     LOG(ERROR) << "event=order_refused index=" << index << " " << ToString(error);
   }
-  LOG(INFO) << "event=orders_replayed entries=" << entries.size()
-            << " version=" << m_routing_log.Published()->m_routing.m_version
-            << " data_centres_out=" << m_routing_log.Published()->m_data_centres_out.size();
+  LOG(INFO) << "event=orders_replayed entries=" << entries.size() << PublishedFields();
+}
+
+std::string RoutingStateMachine::PublishedFields() const {
+  const PublishedState& published = *m_routing_log.Published();
+  std::ostringstream fields;
+  fields << " state=" << published.m_index << " digest=" << std::hex << published.m_digest << std::dec
+         << " version=" << published.m_routing.m_version << " data_centres_out=" << published.m_data_centres_out.size();
+  return fields.str();
 }
 
 SteeringControl::SteeringControl(config::SteeringControlSettings settings, std::string settings_path,
--- a/src/control/steering_control.h
+++ b/src/control/steering_control.h
@@ -47,6 +47,9 @@
   [[nodiscard]] const RoutingLog& Log() const noexcept { return m_routing_log; }
 
  private:
+  // The published state as fields of a log line.
+  [[nodiscard]] std::string PublishedFields() const;
+
   RoutingLog m_routing_log;
 };
 
--- a/src/control/steering_control_messages.cc
+++ b/src/control/steering_control_messages.cc
@@ -28,7 +28,7 @@
 bool SteeringControl::AwaitMajority(StopSignal* stop) {
   while (!m_sync_client.IsCurrent(Now())) {
     if (stop->Wait(steady_clock::now())) return false;
-    for (const auto& [host, request] : m_sync_client.Tick(Now(), 0)) {
+    for (const auto& [host, request] : m_sync_client.Tick(Now(), {})) {
       SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
              EncodeSyncRequest(request));
     }
@@ -91,7 +91,7 @@
   }
   if (must_confirm) {
     SendTo(reply.m_from, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
-           EncodeSyncRequest(m_sync_client.RequestTo(reply.m_from, 0)));
+           EncodeSyncRequest(m_sync_client.RequestTo(reply.m_from, {})));
   }
   if (m_target_directory.LastChange() != change_before) RequestPush();
 }
@@ -128,7 +128,7 @@
     const TimePoint now = Now();
     UpdateControlHosts();
     UpdateTargets(now);
-    for (const auto& [host, request] : m_sync_client.Tick(now, 0)) {
+    for (const auto& [host, request] : m_sync_client.Tick(now, {})) {
       SendTo(host, m_settings.m_discovery.m_control_message_port, MessageType::kSyncRequest,
              EncodeSyncRequest(request));
     }
--- a/src/control/steering_control_metrics.cc
+++ b/src/control/steering_control_metrics.cc
@@ -21,6 +21,13 @@
                      [this] { return m_log_replica->Node().Role() == RaftRole::kLeader ? 1.0 : 0.0; });
   m_metrics.AddGauge("fighatch_control_commit_index", "Index of the last accepted entry.", {},
                      [this] { return static_cast<double>(m_log_replica->Node().CommitIndex()); });
+  m_metrics.AddGauge("fighatch_control_state_index", "Index of the published state.", {},
+                     [this] { return static_cast<double>(m_state_machine.Log().Published()->m_index); });
+  m_metrics.AddGauge("fighatch_control_state_digest", "Digest of that state, equal on all hosts with this index.", {},
+                     [this] { return observe::DigestValue(m_state_machine.Log().Published()->m_digest); });
+  m_metrics.AddGauge("fighatch_control_divergent_followers",
+                     "Balancers that hold another state under the index of the published one.", {},
+                     [this] { return static_cast<double>(m_sync_server.CountDivergent()); });
   m_metrics.AddGauge("fighatch_control_targets", "Targets known.", {},
                      [this] { return static_cast<double>(m_target_directory.Size()); });
   m_metrics.AddGauge("fighatch_control_followers", "Balancers and control hosts that follow this host.", {},
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -1,6 +1,7 @@
 #ifndef FIGHATCH_OBSERVE_METRICS_H_
 #define FIGHATCH_OBSERVE_METRICS_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,11 @@
 /// to call there.
 using ValueReader = std::function<double()>;
 
+/// A digest as the value of a gauge: its low 32 bits, which every reader of the text format keeps exactly.
+[[nodiscard]] constexpr double DigestValue(std::uint64_t digest) noexcept {
+  return static_cast<double>(static_cast<std::uint32_t>(digest));
+}
+
 /// The registry of a process's metrics, rendered in the Prometheus text format. Names follow the Prometheus
 /// conventions: a `fighatch_` prefix, base units, `_total` for counters. Adding and rendering are safe from several
 /// threads.
--- a/src/steering/cookie_steering.cc
+++ b/src/steering/cookie_steering.cc
@@ -52,13 +52,16 @@
   return PlaceFlow(now, packet, now - packet.m_age, PacketSource::kArrived);
 }
 
-bool CookieSteering::Update(TimePoint now, const RoutingUpdate& update) {
+UpdateOutcome CookieSteering::Update(TimePoint now, const RoutingUpdate& update) {
   const bool is_first = m_state.m_index == 0;
-  if (!ApplyUpdate(update, &m_state)) return false;
+  const UpdateOutcome outcome = ApplyUpdate(update, &m_state);
+  if (outcome == UpdateOutcome::kDigestMismatch) m_needs_whole_state = true;
+  if (outcome != UpdateOutcome::kApplied) return outcome;
+  m_needs_whole_state = false;
   if (is_first) m_learning_until = now + m_options.m_learning_period;
   m_targets.SetServices(ServiceNames(m_state.m_routing));
   IndexPriorities();
-  return true;
+  return outcome;
 }
 
 void CookieSteering::IndexPriorities() {
--- a/src/steering/routing_log.cc
+++ b/src/steering/routing_log.cc
@@ -55,7 +55,7 @@
   Result<RoutingState> routing = m_reader->Read(command.m_text);
   if (!IsOk(routing)) return ErrorOf(routing);
   m_document = command.m_text;
-  Publish({index, std::move(ValueOf(routing)), m_published->m_data_centres_out});
+  Publish({index, std::move(ValueOf(routing)), m_published->m_data_centres_out, 0});
   return true;
 }
 
@@ -116,12 +116,13 @@
 void RoutingLog::Publish(PublishedState next) {
   m_history.push_back(m_published);
   if (m_history.size() > kHistoryStates) m_history.pop_front();
+  next.m_digest = StateDigest(next);
   m_published = std::make_shared<const PublishedState>(std::move(next));
 }
 
-RoutingUpdate RoutingLog::UpdateFrom(std::uint64_t index) const {
+RoutingUpdate RoutingLog::UpdateFrom(const StatePosition& held) const {
   for (const auto& state : m_history) {
-    if (state->m_index == index && index != 0) return MakeUpdate(*state, *m_published);
+    if (state->Position() == held && held.m_index != 0) return MakeUpdate(*state, *m_published);
   }
   return MakeUpdate(PublishedState{}, *m_published);
 }
@@ -144,6 +145,7 @@
   }
   m_document = std::move(snapshot.m_document);
   m_history.clear();
+  next.m_digest = StateDigest(next);
   m_published = std::make_shared<const PublishedState>(std::move(next));
   return OkStatus();
 }
--- a/src/steering/sync_client.cc
+++ b/src/steering/sync_client.cc
@@ -17,7 +17,7 @@
   return link.m_has_replied && now - link.m_replied < kReplyTimeout;
 }
 
-std::vector<std::pair<HostId, SyncRequest>> SyncClient::Tick(TimePoint now, std::uint64_t state_index) {
+std::vector<std::pair<HostId, SyncRequest>> SyncClient::Tick(TimePoint now, const StatePosition& state) {
   const std::set<HostId> contacts = Contacts();
   std::erase_if(m_links, [&contacts](const auto& entry) { return !contacts.contains(entry.first); });
   std::vector<HostId> current;
@@ -35,11 +35,11 @@
   for (std::size_t count = 0; count < retries; ++count) current.push_back(others[m_next_retry++ % others.size()]);
   std::vector<std::pair<HostId, SyncRequest>> requests;
   requests.reserve(current.size());
-  for (const HostId host : current) requests.emplace_back(host, RequestTo(host, state_index));
+  for (const HostId host : current) requests.emplace_back(host, RequestTo(host, state));
   return requests;
 }
 
-SyncRequest SyncClient::RequestTo(HostId host, std::uint64_t state_index) const {
+SyncRequest SyncClient::RequestTo(HostId host, const StatePosition& state) const {
   const auto link = m_links.find(host);
   SyncRequest request;
   request.m_from = m_options.m_self;
@@ -49,7 +49,7 @@
     request.m_position = link->second.m_position;
     request.m_hosts_digest = link->second.m_hosts_digest;
   }
-  request.m_state_index = state_index;
+  request.m_state = state;
   return request;
 }
 
--- a/src/steering/sync_server.cc
+++ b/src/steering/sync_server.cc
@@ -21,7 +21,7 @@
   const bool is_known_incarnation = request.m_position.m_incarnation == m_incarnation;
   follower.m_confirmed = is_known_incarnation ? request.m_position.m_sequence : 0;
   follower.m_sent_sequence = follower.m_confirmed;
-  follower.m_sent_index = request.m_state_index;
+  follower.m_sent_state = follower.m_stated_state = request.m_state;
   follower.m_sent_digest = request.m_hosts_digest;
   if (is_new) UpdateHostsDigest();
   return MakeReply(now, has_quorum, &follower);
@@ -33,7 +33,7 @@
   for (auto& [host, follower] : m_followers) {
     const bool has_targets = follower.m_sent_sequence < m_directory->LastChange();
     const bool has_state =
-        follower.m_role == SyncRole::kBalancer && follower.m_sent_index < m_log->Published()->m_index;
+        follower.m_role == SyncRole::kBalancer && follower.m_sent_state.m_index < m_log->Published()->m_index;
     if (has_targets || has_state) replies.emplace_back(host, MakeReply(now, has_quorum, &follower));
   }
   return replies;
@@ -56,9 +56,9 @@
     reply.m_position.m_sequence = follower->m_sent_sequence;
   }
   follower->m_sent_sequence = reply.m_position.m_sequence;
-  if (!is_control && follower->m_sent_index < m_log->Published()->m_index) {
-    reply.m_update = m_log->UpdateFrom(follower->m_sent_index);
-    follower->m_sent_index = reply.m_update->m_index;
+  if (!is_control && follower->m_sent_state.m_index < m_log->Published()->m_index) {
+    reply.m_update = m_log->UpdateFrom(follower->m_sent_state);
+    follower->m_sent_state = reply.m_update->m_position;
   }
   reply.m_hosts_digest = m_hosts_digest;
   if (follower->m_sent_digest != m_hosts_digest) {
@@ -108,6 +108,15 @@
   }));
 }
 
+std::size_t SyncServer::CountDivergent() const {
+  const StatePosition published = m_log->Published()->Position();
+  return static_cast<std::size_t>(std::count_if(m_followers.begin(), m_followers.end(), [&](const auto& entry) {
+    const StatePosition& stated = entry.second.m_stated_state;
+    return entry.second.m_role == SyncRole::kBalancer && stated.m_index != 0 && stated.m_index == published.m_index &&
+           stated.m_digest != published.m_digest;
+  }));
+}
+
 void SyncServer::RemoveSilentFollowers(TimePoint now) {
   const auto erased = std::erase_if(
       m_followers, [now](const auto& entry) { return now - entry.second.m_last_request > kFollowerTimeout; });
--- a/tests/observe_test.cc
+++ b/tests/observe_test.cc
@@ -27,6 +27,13 @@
             "# HELP fighatch_b Other.\n# TYPE fighatch_b gauge\nfighatch_b 0.5\n");
 }
 
+// Guards against digests that are rounded when rendered, so that different states look equal.
+TEST(MetricsTest, DigestsKeepEachOfTheirLow32Bits) {
+  Metrics metrics;
+  metrics.AddGauge("fighatch_d", "Digest.", {}, [] { return DigestValue(0x12345678FFFFFFFEULL); });
+  EXPECT_NE(metrics.Render().find("fighatch_d 4294967294\n"), std::string::npos) << metrics.Render();
+}
+
 // Guards against histograms that a Prometheus server cannot evaluate: buckets must be cumulative and in seconds, and
 // the last one must have no bound and equal the count.
 TEST(MetricsTest, RendersHistograms) {
--- a/tests/platform_document_limit_test.cc
+++ b/tests/platform_document_limit_test.cc
@@ -72,7 +72,7 @@
   EXPECT_EQ(restored.Document(), text);
 
   SyncReply reply;
-  reply.m_update = log.UpdateFrom(0);
+  reply.m_update = log.UpdateFrom({});
   const std::vector<std::byte> whole = EncodeSyncReply(reply);
   EXPECT_LE(whole.size(), io::PlainMessageSocket::kMaxPayloadBytes);
   const Result<SyncReply> received = DecodeSyncReply(whole);
--- a/tests/routing_log_restart_test.cc
+++ b/tests/routing_log_restart_test.cc
@@ -130,10 +130,12 @@
   }
 
   [[nodiscard]] bool Follow(PublishedState* follower, const ControlHost& host) const {
-    (void)ApplyUpdate(host.m_log->UpdateFrom(follower->m_index), follower);
+    const UpdateOutcome outcome = ApplyUpdate(host.m_log->UpdateFrom(follower->Position()), follower);
+    if (outcome == UpdateOutcome::kDigestMismatch || outcome == UpdateOutcome::kOtherBase) return false;
     if (follower->m_index == 0) return true;
     const PublishedState& published = *m_published.at(follower->m_index);
-    return follower->m_routing == published.m_routing && follower->m_data_centres_out == published.m_data_centres_out;
+    return follower->Position() == published.Position() && follower->m_routing == published.m_routing &&
+           follower->m_data_centres_out == published.m_data_centres_out;
   }
 
   Random m_random;
--- a/tests/routing_log_test.cc
+++ b/tests/routing_log_test.cc
@@ -53,6 +53,68 @@
   EXPECT_TRUE(restored.Published()->m_data_centres_out.empty());
 }
 
+// Guards against a difference that is made from a state which only shares its index with the one that the follower
+// holds: the follower would keep routes that are gone.
+TEST_F(RoutingLogTest, FollowerWithAnotherStateOfTheSameIndexGetsTheWholeState) {
+  RoutingLog other(&m_reader);
+  (void)other.Apply(1, MakeDocument(6, "80 81"));
+  PublishedState follower = *other.Published();
+  (void)m_log.Apply(1, MakeDocument(7, "80"));
+  (void)m_log.Apply(2, DataCentreCommand{"a", true});
+  ASSERT_EQ(ApplyUpdate(m_log.UpdateFrom(follower.Position()), &follower), UpdateOutcome::kApplied);
+  EXPECT_EQ(follower.m_routing, m_log.Published()->m_routing);
+  EXPECT_EQ(follower.Position(), m_log.Published()->Position());
+}
+
+// Guards against a follower that applies a difference to a state which is not its base, or one that was made wrongly.
+TEST_F(RoutingLogTest, DifferenceThatDoesNotFitIsRefused) {
+  (void)m_log.Apply(1, MakeDocument(7, "80 81"));
+  const PublishedState base = *m_log.Published();
+  (void)m_log.Apply(2, MakeDocument(8, "80"));
+  const RoutingUpdate update = m_log.UpdateFrom(base.Position());
+  PublishedState other = base;
+  other.m_routing.m_routes.clear();
+  other.m_digest = StateDigest(other);
+  const PublishedState before = other;
+  EXPECT_EQ(ApplyUpdate(update, &other), UpdateOutcome::kDigestMismatch);
+  EXPECT_EQ(other.Position(), before.Position());
+  EXPECT_EQ(other.m_routing, before.m_routing);
+  RoutingUpdate incomplete = update;
+  incomplete.m_removed_routes.clear();
+  PublishedState follower = base;
+  EXPECT_EQ(ApplyUpdate(incomplete, &follower), UpdateOutcome::kDigestMismatch);
+  EXPECT_EQ(ApplyUpdate(update, &follower), UpdateOutcome::kApplied);
+}
+
+// Guards against parts of the state that its digest leaves out: a wrong state would go unnoticed.
+TEST_F(RoutingLogTest, DigestCoversEveryPartOfTheState) {
+  const PublishedState state = testing_support::MakeState();
+  Route& (*route)(PublishedState&) = [](PublishedState& s) -> Route& { return s.m_routing.m_routes.begin()->second; };
+  void (*const changes[])(PublishedState&, Route&) = {
+      [](PublishedState& s, Route&) { ++s.m_routing.m_version; },
+      [](PublishedState& s, Route&) { s.m_routing.m_routes.clear(); },
+      [](PublishedState& s, Route&) {
+        s.m_routing.m_services["other"] = {"other", 0};
+      },
+      [](PublishedState& s, Route&) { s.m_routing.m_services.begin()->second.m_cold_flows_per_second = 0.5; },
+      [](PublishedState& s, Route&) { s.m_data_centres_out.insert("a"); },
+      [](PublishedState&, Route& r) { ++r.m_address.m_port; },
+      [](PublishedState&, Route& r) { ++r.m_address.m_address.m_bytes[15]; },
+      [](PublishedState&, Route& r) { r.m_services[0].m_service = "other"; },
+      [](PublishedState&, Route& r) { ++r.m_services[0].m_weight; },
+      [](PublishedState&, Route& r) {
+        r.m_services.push_back({"other", 1});
+      },
+      [](PublishedState&, Route& r) { ++r.m_priority; },
+      [](PublishedState&, Route& r) { ++r.m_objective_ms; }};
+  std::set<std::uint64_t> digests{StateDigest(state)};
+  for (const auto change : changes) {
+    PublishedState changed = state;
+    change(changed, route(changed));
+    EXPECT_TRUE(digests.insert(StateDigest(changed)).second) << "change " << digests.size();
+  }
+}
+
 // Guards against a balancer whose routes differ from those of the control hosts after it has missed updates.
 RC_GTEST_PROP(RoutingLogProperty, UpdatesLeadToThePublishedState, (std::uint64_t seed)) {
   Random random(seed);
@@ -69,8 +131,9 @@
     }
     if (random.Below(5) != 0) continue;
     const std::uint64_t before = follower.m_index;
-    const bool taken = ApplyUpdate(log.UpdateFrom(follower.m_index), &follower);
-    RC_ASSERT(taken == (log.Published()->m_index > before));
+    const UpdateOutcome outcome = ApplyUpdate(log.UpdateFrom(follower.Position()), &follower);
+    RC_ASSERT((outcome == UpdateOutcome::kApplied) == (log.Published()->m_index > before));
+    RC_ASSERT(follower.m_index == 0 || follower.m_digest == StateDigest(follower));
     RC_ASSERT(follower.m_routing == log.Published()->m_routing);
     RC_ASSERT(follower.m_data_centres_out == log.Published()->m_data_centres_out);
   }
--- a/tests/steering_cookie_test.cc
+++ b/tests/steering_cookie_test.cc
@@ -81,6 +81,24 @@
   EXPECT_EQ(targets_of_next_flows(milliseconds(20)), std::set<TargetId>{MakeTarget(2).m_id});
 }
 
+// Guards against a balancer that stays with a wrong state, or without a route, after it has refused a difference.
+TEST(CookieSteeringTest, RefusedDifferenceIsReplacedByTheWholeState) {
+  Balancer balancer;
+  balancer.ApplyState(MakeState(1));
+  balancer.AddTarget(MakeTarget(1));
+  CookieSteering& steering = balancer.Steering();
+  PublishedState next = MakeState(2);
+  next.m_digest = StateDigest(next);
+  RoutingUpdate wrong = MakeUpdate(MakeState(1), next);
+  ++wrong.m_base.m_digest;
+  EXPECT_EQ(steering.Update(balancer.Now(), wrong), UpdateOutcome::kDigestMismatch);
+  EXPECT_EQ(steering.HeldState(), StatePosition{});
+  EXPECT_EQ(steering.State().m_index, 1U);
+  EXPECT_EQ(balancer.Steer(OpeningPacket(1)).m_action, SteeringAction::kForward);
+  EXPECT_EQ(steering.Update(balancer.Now(), MakeUpdate({}, next)), UpdateOutcome::kApplied);
+  EXPECT_EQ(steering.HeldState(), next.Position());
+}
+
 // Guards against the refusal of an opening packet that resets a flow which is open.
 TEST(CookieSteeringTest, KnowsOpenFlows) {
   Balancer balancer;
--- a/tests/steering_sync_test.cc
+++ b/tests/steering_sync_test.cc
@@ -6,6 +6,7 @@
 
 #include "fighatch/sync_client.h"
 #include "fighatch/sync_server.h"
+#include "port_reader.h"
 #include "steering_fixture.h"
 
 namespace fighatch {
@@ -48,7 +49,7 @@
   void Run(int intervals, std::uint64_t loss_percent = 0) {
     for (int interval = 0; interval < intervals; ++interval) {
       m_now += milliseconds(500);
-      for (const auto& [host, request] : m_client.Tick(m_now, 0)) {
+      for (const auto& [host, request] : m_client.Tick(m_now, {})) {
         ControlHost& control = *m_controls.at(host);
         if (!control.m_reachable || IsLost(loss_percent)) continue;
         Deliver(control.m_server.Answer(m_now, request, control.m_has_quorum), loss_percent);
@@ -157,12 +158,12 @@
     refreshed.m_sequence = sequence;
     (void)directory.Announce(m_now, refreshed);
     if (m_now >= next_poll) {
-      (void)follower.Tick(m_now, 0);
+      (void)follower.Tick(m_now, {});
       next_poll = m_now + milliseconds(300);
       must_confirm = true;
     }
     if (!must_confirm) continue;
-    must_confirm = follower.Receive(m_now, server.Answer(m_now, follower.RequestTo(HostId{1}, 0), true));
+    must_confirm = follower.Receive(m_now, server.Answer(m_now, follower.RequestTo(HostId{1}, {}), true));
     ++replies;
   }
   EXPECT_LE(replies, 60U);
@@ -191,6 +192,67 @@
   EXPECT_EQ(server.CountConfirmedBy(directory.Sequence(), others), 0U);
 }
 
+// Guards against a balancer that holds a wrong state without anybody who could see it.
+TEST_F(SyncTest, FollowerWithAnotherStateOfTheSameIndexIsCounted) {
+  const testing_support::PortReader reader;
+  TargetDirectory directory;
+  RoutingLog log(&reader);
+  SyncServer server(HostId{1}, 5, &directory, &log);
+  (void)log.Apply(4, testing_support::MakeDocument(7, "80"));
+  SyncRequest request;
+  request.m_from = HostId{2};
+  request.m_state = log.Published()->Position();
+  (void)server.Answer(m_now, request, true);
+  EXPECT_EQ(server.CountDivergent(), 0U);
+  ++request.m_state.m_digest;
+  (void)server.Answer(m_now, request, true);
+  EXPECT_EQ(server.CountDivergent(), 1U);
+  request.m_state = {3, 1};
+  (void)server.Answer(m_now, request, true);
+  EXPECT_EQ(server.CountDivergent(), 0U);
+}
+
+// Guards against a lost or late message that leaves a balancer with a state which mixes two published ones: the sender
+// counts on the update that was lost, and makes the next difference from it.
+RC_GTEST_PROP(SyncStateProperty, LostAndLateUpdatesLeadToThePublishedState, (std::uint64_t seed)) {
+  Random random(seed);
+  const testing_support::PortReader reader;
+  std::vector<std::unique_ptr<ControlHost>> hosts;
+  for (std::uint32_t host = 1; host <= 3; ++host) hosts.push_back(std::make_unique<ControlHost>(host, &reader));
+  SyncClient client({HostId{100}, SyncRole::kBalancer, "a", 3});
+  client.SetSeeds({HostId{1}, HostId{2}, HostId{3}});
+  PublishedState state;
+  std::vector<SyncReply> in_flight;
+  TimePoint now{std::chrono::seconds(10)};
+  const auto deliver = [&](const SyncReply& reply) {
+    (void)client.Receive(now, reply);
+    const UpdateOutcome outcome = reply.m_update ? ApplyUpdate(*reply.m_update, &state) : UpdateOutcome::kNotNewer;
+    RC_ASSERT(outcome != UpdateOutcome::kDigestMismatch);
+    RC_ASSERT(state.m_index == 0 || state.m_digest == StateDigest(state));
+  };
+  for (LogIndex index = 1; index <= 80; ++index) {
+    RoutingCommand command = testing_support::DrawDataCentreCommand(&random);
+    if (random.Below(2) == 0) command = testing_support::MakeDocument(index, testing_support::DrawPorts(&random));
+    for (const auto& host : hosts) (void)host->m_log.Apply(index, command);
+    for (const auto& host : hosts) {
+      for (auto& [to, reply] : host->m_server.Push(now, true)) in_flight.push_back(std::move(reply));
+    }
+    for (const auto& [to, request] : client.Tick(now, state.Position())) {
+      if (random.Below(2) == 0) in_flight.push_back(hosts[to.m_value - 1]->m_server.Answer(now, request, true));
+    }
+    while (!in_flight.empty() && random.Below(4) != 0) {
+      const auto chosen = in_flight.begin() + static_cast<std::ptrdiff_t>(random.Below(in_flight.size()));
+      if (random.Below(2) == 0) deliver(*chosen);
+      in_flight.erase(chosen);
+    }
+    now += milliseconds(100);
+  }
+  for (const auto& [to, request] : client.Tick(now, state.Position())) {
+    deliver(hosts[to.m_value - 1]->m_server.Answer(now, request, true));
+  }
+  RC_ASSERT(state.Position() == hosts[0]->m_log.Published()->Position());
+}
+
 // Guards against decoders that trust the lengths in a truncated message.
 TEST(SyncMessageTest, EveryTruncationIsRefused) {
   SyncReply reply;
--- a/tests/target_monitor_test.cc
+++ b/tests/target_monitor_test.cc
@@ -132,7 +132,7 @@
     for (const auto& [self, host] : m_hosts) {
       const bool has_quorum = self == m_leader ? HasMajorityBothWays(self) : Reaches(m_leader, self);
       (void)host->m_monitor.Tick(m_now, m_all, has_quorum);
-      for (const auto& [to, request] : host->m_client.Tick(m_now, 0)) Request(self, to, request);
+      for (const auto& [to, request] : host->m_client.Tick(m_now, {})) Request(self, to, request);
     }
     for (const auto& [self, host] : m_hosts) Push(self);
   }
@@ -160,11 +160,11 @@
     ControlHost& host = *m_hosts.at(to);
     const bool must_confirm = host.m_client.Receive(m_now, reply);
     for (const TargetObservation& target : reply.m_targets) (void)host.m_directory.Merge(m_now, target);
-    if (must_confirm) Request(to, from, host.m_client.RequestTo(from, 0));
+    if (must_confirm) Request(to, from, host.m_client.RequestTo(from, {}));
   }
 
   void PollAsBalancer() {
-    for (const auto& [to, request] : m_balancer.Tick(m_now, 0)) {
+    for (const auto& [to, request] : m_balancer.Tick(m_now, {})) {
       ControlHost& server = *m_hosts.at(to);
       Deliver(to, kBalancer, server.m_server.Answer(m_now, request, server.m_monitor.HasMajority(m_now)));
     }
