--- a/bench/control_restart.cc
+++ b/bench/control_restart.cc
@@ -276,7 +276,6 @@
   constexpr std::size_t kLargeDocument = 2'500'000;
   MeasureIdle(8);
   MeasureLongLog(kLargeDocument);
-
   for (const Missed missed : {Missed::kNothing, Missed::kDataCentre, Missed::kDocument, Missed::kSecondDocument}) {
     for (const std::size_t balancers : {8U, 100U, 300U}) {
       MeasureRestart(balancers, kSmallDocument, missed);
