--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -553,6 +553,8 @@
     from concurrent.futures import ThreadPoolExecutor
 
     async def main():
+        # A stop from outside ends the daemons as well.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         world = make_world()
         world.pool = ThreadPoolExecutor(64)
         try:
@@ -562,7 +564,7 @@
         return world
     try:
         world = asyncio.run(main())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print(f"{case}: could not run: {type(error).__name__} {error}")
         return 2
     for rule, text in world.violations[:5]:
